--- a/burlspar/benchlink.py
+++ b/aspenrill/adapter.py
@@ -8,17 +8,16 @@
 from typing import Any, TextIO
 
 from . import api
-from .brain import Gateway
+from .control import Gateway
+from .settings import settings_from
 
 NS = 1_000_000_000
 OUTCOMES = {"200": api.Outcome.OK, "500": api.Outcome.ERROR, "503": api.Outcome.FULL,
             "504": api.Outcome.TIMEOUT, "502": api.Outcome.CONNECT_FAILED, "598": api.Outcome.RESET,
             "499": api.Outcome.CANCELLED, "410": api.Outcome.MOOT}
-EFFECTS = {"repeatable": api.Effect.SAFE, "by_key": api.Effect.KEYED, "once": api.Effect.UNSAFE}
 STATES = {"live": api.EngineState.LIVE, "quiescing": api.EngineState.DRAINING, "dead": api.EngineState.GONE}
 MODES = {"changes": api.ListMode.CHANGES, "all": api.ListMode.COMPLETE,
          "remembered": api.ListMode.REMEMBERED, "refused": api.ListMode.REFUSED}
-FIELDS = {"concurrent": "inflight", "depth": "queue", "load_share": "util"}
 RETRY_BIT = 2
 COST_BIT = 1
 # messages with the number of their values; the last one of BORN is text to the line's end
@@ -74,56 +73,6 @@
     return tuple(_number(part, what) for part in text.split(","))
 
 
-def settings_from(info: dict[str, Any]) -> api.Settings:
-    """Translate the start message's object; keys not known here are ignored."""
-    def sec(owner: dict[str, Any], key: str, default: float = 0.0) -> float:
-        return owner.get(key, default * NS) / NS
-
-    family = info.get("family_info") or {}
-    limits = info.get("limits") or {}
-    rules = info.get("guarantees") or {}
-    stats = info.get("stats") or {}
-    raw = info.get("classes") or []
-
-    def per_class(key: str, default: Any) -> list[Any]:
-        return list(family.get(key) or [default] * len(raw))
-
-    def bound(c: dict[str, Any], key: str) -> tuple[int, ...] | None:
-        return tuple(c[key]) if c.get(key) is not None else None
-
-    threads, loads = per_class("dop", 1), per_class("is_load", False)
-    waits = per_class("waits_for_loads", False)
-    classes = tuple(api.QueryClass(
-        aim=sec(c, "on_time_ns"), patience=sec(c, "give_up_ns"), effect=_word(c["effect"], "effect", EFFECTS),
-        worth=c.get("value", 1.0), late_worth=c.get("late_share", 0.0), aim_stretch=c.get("aim_stretch", 0.0),
-        dedup_scope=c.get("dedup_scope", "all"), dedup_window=sec(c, "window_ns"),
-        in_order=bool(c.get("in_order", False)), only_kinds=bound(c, "served_on"),
-        only_zones=bound(c, "stays_in"), threads=threads[i], is_load=loads[i], waits_for_loads=waits[i],
-    ) for i, c in enumerate(raw))
-    budget = "repeat_ratio" in rules or "budget_free" in rules
-    return api.Settings(
-        classes=classes,
-        cores_by_kind=tuple(family.get("cores_by_kind") or [1] * len(info.get("kinds") or [1])),
-        memory_by_kind=tuple(family.get("kind_memory_mb") or ()), gateways=info.get("group_size", 1),
-        me=info.get("me", 0), most_attempts=limits.get("most_tries", 1),
-        may_cancel=bool(limits.get("cancel")),
-        may_probe=bool(limits.get("may_probe")), may_tell=bool(limits.get("peers")),
-        tell_price=(info.get("prices") or {}).get("peer", 0.0),
-        shortage_pages=family.get("on_shortage") == "page", come_back_hints=bool(limits.get("retry_after")),
-        longest_come_back=sec(limits, "max_retry_after_ns"), grants_heeded=bool(family.get("grants_count")),
-        largest_grant=family.get("grant_cap", 1.0), priorities_heeded=bool(family.get("lanes_count")),
-        costs_told=bool(family.get("says_cost")), ask_for_list=info.get("discovery") == "ask",
-        report_fields=tuple(FIELDS.get(f, f) for f in stats.get("fields") or ()),
-        start_capacity=rules.get("start_capacity", 1.0),
-        cold_for=sec(rules, "cold_ns"), fall_multiple=rules.get("fall_multiple", 0.0),
-        fall_window=sec(rules, "fall_ns"),
-        key_rest=sec(rules, "turn_gap_ns") if "turn_gap_ns" in rules else None,
-        retry_free=rules.get("budget_free", 0) if budget else None,
-        retry_ratio=rules.get("repeat_ratio", 0.0) if budget else None,
-        retry_span=sec(rules, "ratio_span_ns"), over_share_worth=info.get("over_share_worth", 1.0),
-        tenant_quotas=tuple(t.get("quota_per_s", 0.0) for t in info.get("tenants") or ()))
-
-
 def encode(action: api.Action) -> str:
     """One action as a line of the wire."""
     match action:
@@ -290,13 +239,13 @@
                 raise WireError("expected MARK before OVER_TO_YOU")
             reply = link.batch(lines)
         except WireError as why:
-            stderr.write(f"benchlink: {why}\n")
+            stderr.write(f"adapter: {why}\n")
             return 2
         stdout.write("\n".join(reply) + "\n")
         stdout.flush()
         lines = []
     if lines:
-        stderr.write("benchlink: expected OVER_TO_YOU before the end of input\n")
+        stderr.write("adapter: expected OVER_TO_YOU before the end of input\n")
         return 2
     return 0
 
--- a/burlspar/api.py
+++ b/aspenrill/api.py
@@ -1,4 +1,4 @@
-"""The interface of burlspar: what a gateway is told at start, what it hears, and what it may do.
+"""The interface of aspenrill: what a gateway is told at start, what it hears, and what it may do.
 
 All times are seconds (floats) on the caller's own clock, which never goes back.
 """
--- a/burlspar/brain.py
+++ b/aspenrill/control.py
@@ -1,4 +1,4 @@
-"""All decisions of a gateway. Interface: burlspar/api.py. What acts when, and why: docs/design.md."""
+"""All decisions of a gateway. Interface: aspenrill/api.py. What acts when, and why: docs/design.md."""
 from __future__ import annotations
 
 import math
--- a/burlspar/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""burlspar: the decisions of a gateway that keeps short and long queries apart on shared engines."""
--- a/tests/test_link.py
+++ b/tests/test_adapter.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from burlspar.benchlink import serve
+from aspenrill.adapter import serve
 
 INFO = {"classes": [{"effect": "repeatable", "on_time_ns": 10**9, "give_up_ns": 5 * 10**9, "new": 1}],
         "kinds": ["k"], "family_info": {"cores_by_kind": [8]}, "unknown": {"x": 1}, "group_size": 2}
--- a/tests/test_brain.py
+++ b/tests/test_control.py
@@ -6,10 +6,10 @@
 
 import pytest
 
-from burlspar import api
-from burlspar.api import AttemptEnded, Effect, EngineEntry, EngineState, ListMode, ListUpdate, Outcome
-from burlspar.brain import LADDER, NEWS_COST, SPEND, TOP, Gateway
-from burlspar.state import pack_news
+from aspenrill import api
+from aspenrill.api import AttemptEnded, Effect, EngineEntry, EngineState, ListMode, ListUpdate, Outcome
+from aspenrill.control import LADDER, NEWS_COST, SPEND, TOP, Gateway
+from aspenrill.state import pack_news
 
 LOOKUP = api.QueryClass(aim=1.0, patience=5.0, effect=Effect.SAFE)
 REPORT = api.QueryClass(aim=2.0, patience=20.0, effect=Effect.SAFE, worth=6, threads=2, aim_stretch=2.5)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,9 +6,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from burlspar import api
-from burlspar.api import Effect, EngineState, ListMode, Outcome
-from burlspar.brain import Gateway
+from aspenrill import api
+from aspenrill.api import Effect, EngineState, ListMode, Outcome
+from aspenrill.control import Gateway
 
 SLACK = 0.02
 
