--- /dev/null
+++ b/aspenrill/__main__.py
@@ -0,0 +1,7 @@
+"""Starts one real front end."""
+import sys
+
+from .node import main
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/aspenrill/api.py
+++ b/aspenrill/api.py
@@ -244,8 +244,13 @@
     data: bytes = field(repr=False)
 
 
+@dataclass(frozen=True)
+class Closing:
+    """The gateway's program is about to end: every request gets its final answer now."""
+
+
 Event = (ListUpdate | Request | AttemptEnded | AttemptNote | StreamStarted | ClientGone | ProbeEnded
-         | TimerDue | PeerMessage)
+         | TimerDue | PeerMessage | Closing)
 
 
 @dataclass(frozen=True)
--- a/aspenrill/control.py
+++ b/aspenrill/control.py
@@ -76,6 +76,8 @@
                 self._on_probe(self.fleet.engines[event.engine], event)
             case api.ClientGone(request) if request in self.queries:
                 self._end(self.queries[request], gone=True)
+            case api.Closing():
+                self._close()
             case api.TimerDue() if now >= self.timer_at - 1e-6:
                 self.timer_at = math.inf
                 self._watch()
@@ -89,6 +91,13 @@
             self.actions.append(api.SetTimer(wait, "look"))
         return self.actions
 
+    def _close(self) -> None:
+        """All get their answers; what is out may have run."""
+        for query in list(self.queries.values()):
+            if query.engine is not None and query.ran_at is None:
+                query.ran_at, query.ran_on = query.sent_at, query.engine
+            self._end(query)
+
     # ---- view of engines: membership, own load, health ------------------------------------------------
 
     def _on_list(self, update: api.ListUpdate) -> None:
--- /dev/null
+++ b/aspenrill/core/books.py
@@ -0,0 +1,180 @@
+"""The books: requests that are open, attempts that are out, engines by id. Plain records."""
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from ..api import EngineState, NoteKind, Outcome
+
+
+@dataclass(frozen=True)
+class Column:
+    """A column of a result; `wire` is what the engine's protocol says of its type, None for text."""
+
+    name: str
+    wire: Any = None
+
+
+@dataclass(frozen=True)
+class Result:
+    """Rows as an engine gave them. `body` in the form of its wire: `form` names it, `columns` describe it."""
+
+    form: str
+    body: bytes
+    columns: tuple[Column, ...] = ()
+    rows: int = 0
+
+
+@dataclass(frozen=True)
+class Served:
+    """Final answer: all rows."""
+
+    result: Result
+
+
+@dataclass(frozen=True)
+class Refused:
+    """Final answer: trying again is harmless, after `come_back` seconds if given."""
+
+    come_back: float = 0.0
+
+
+@dataclass(frozen=True)
+class Failed:
+    """Final answer: nothing is promised of the effect."""
+
+    reason: str = ""
+
+
+Final = Served | Refused | Failed
+
+
+@dataclass(eq=False)
+class Call:
+    """A request that a front has taken. Times are of the monotonic clock."""
+
+    id: str
+    cls: int
+    tenant: int
+    statement: bytes
+    key: str | None
+    data_set: int | None
+    arrived: float
+    patience: float
+    reply: Callable[[Call, Final], None]
+    open: bool = True
+    sends: int = 0
+    priority: int = 1
+    attempt: Attempt | None = None  # the one that is out
+
+    @property
+    def deadline(self) -> float:
+        """When its client gives up."""
+        return self.arrived + self.patience
+
+
+@dataclass(eq=False)
+class Peer:
+    """An engine as the roster names it. Connections belong to this record, not to the address."""
+
+    engine: str
+    address: tuple[str, int]
+    state: EngineState
+    started: float = 0.0
+    idle: list[Any] = field(default_factory=list)
+    retired: bool = False  # replaced by another process or address
+
+    @property
+    def takes_work(self) -> bool:
+        """Neither draining nor gone."""
+        return self.state is EngineState.LIVE and not self.retired
+
+
+@dataclass(eq=False)
+class Attempt:
+    """One try at an engine, out until its end is reported."""
+
+    call: Call
+    peer: Peer
+    number: int
+    until: float
+    priority: int
+    task: Any = None
+    cancelled: bool = False
+    began: float = field(default_factory=time.monotonic)
+    asked: float | None = None  # when the engine was last asked; None: no byte has gone out
+    heard: float = 0.0  # when it last said anything
+
+    @property
+    def wanted(self) -> bool:
+        """Still worth its first byte: request open, time left, engine taking work."""
+        return (self.call.open and not self.cancelled and time.monotonic() < self.until
+                and self.peer.takes_work)
+
+
+# ---- what reaches the owner's queue -------------------------------------------------------------------
+
+@dataclass(frozen=True)
+class Asked:
+    """A front has taken a request."""
+
+    call: Call
+
+
+@dataclass(frozen=True)
+class Left:
+    """The client of a request has gone."""
+
+    call: Call
+
+
+@dataclass(frozen=True)
+class Expired:
+    """A request is past its deadline and has no answer."""
+
+    call: Call
+
+
+@dataclass(frozen=True)
+class Ended:
+    """An attempt is over."""
+
+    attempt: Attempt
+    outcome: Outcome
+    result: Result | None = None
+    work: float | None = None
+    memory_mb: float | None = None
+    report: tuple[float, ...] | None = None
+
+
+@dataclass(frozen=True)
+class Noted:
+    """A note on an attempt that is out."""
+
+    attempt: Attempt
+    kind: NoteKind
+    amount: float
+
+
+@dataclass(frozen=True)
+class Probed:
+    """What a probe brought."""
+
+    peer: Peer
+    outcome: Outcome
+    latency: float
+    report: tuple[float, ...] | None = None
+
+
+@dataclass(frozen=True)
+class Due:
+    """A timer of the module."""
+
+    name: str
+
+
+@dataclass(frozen=True)
+class Closing:
+    """The program is about to end: whatever is open gets its answer now."""
--- /dev/null
+++ b/aspenrill/core/owner.py
@@ -0,0 +1,213 @@
+"""The owner: the one task that holds the decision module, and carries out what it decides.
+
+Everything reaches it through its queue. It never waits for a socket: attempts, probes and answers are handed
+to tasks that do.
+"""
+from __future__ import annotations
+
+import time
+import traceback
+from typing import Any, Protocol
+
+from .. import api
+from ..control import Gateway
+from ..net.hub import Hub, Queue
+from ..wire.bulletin import News
+from . import books
+from .books import Attempt, Call, Failed, Final, Peer, Refused, Served
+
+OVERTIME = 0.01  # seconds past its deadline at which a request without an answer is failed here
+
+
+class Engines(Protocol):
+    """What the owner asks of the side that speaks to engines."""
+
+    def start(self, attempt: Attempt) -> None: ...
+    def cancel(self, attempt: Attempt) -> None: ...
+    def rank(self, attempt: Attempt, priority: int) -> None: ...
+    def probe(self, peer: Peer) -> None: ...
+    def retire(self, peer: Peer) -> None: ...
+
+
+class Clock:
+    """The system's Unix clock, but one that never goes back: set back, it runs at half speed for a while."""
+
+    def __init__(self) -> None:
+        self._last, self._at = time.time(), time.monotonic()
+
+    def __call__(self) -> float:
+        at = time.monotonic()
+        self._last, self._at = max(time.time(), self._last + (at - self._at) / 2), at
+        return self._last
+
+
+class Owner:
+    """Owns the module; `queue` is the only way in."""
+
+    def __init__(self, hub: Hub, settings: api.Settings, seed: int, engines: Engines) -> None:
+        self.hub, self.settings, self.engines = hub, settings, engines
+        self.queue, self.clock = Queue(hub), Clock()
+        self.gateway = Gateway(settings, seed, self.clock())
+        self.open: dict[str, Call] = {}
+        self.peers: dict[str, Peer] = {}
+        self.listed = False
+        self.well = True
+        self.faults = 0
+
+    def run(self) -> None:
+        """Take events for as long as the program runs."""
+        while True:
+            event = self.queue.get()
+            try:
+                self.take(event)
+            except Exception:
+                self.faults += 1
+                self.hub.report(f"owner, at {type(event).__name__}", traceback.format_exc())
+                call = getattr(event, "call", None) or getattr(getattr(event, "attempt", None), "call", None)
+                if call is not None:
+                    self._final(call, Failed("internal error"))
+
+    def take(self, event: Any) -> None:
+        """One event, and all that the module makes of it."""
+        match event:
+            case books.Asked(call):
+                self._on_asked(call)
+            case books.Ended():
+                self._on_ended(event)
+            case books.Noted(attempt, kind, amount):
+                if attempt.call.open:
+                    self._tell(api.AttemptNote(attempt.call.id, attempt.number, attempt.peer.engine, kind,
+                                               amount))
+            case books.Left(call):
+                if call.open:
+                    self._close(call)
+                    self._tell(api.ClientGone(call.id))
+            case books.Expired(call):
+                if call.open:
+                    self.hub.report(f"request {call.id} had no answer at its deadline")
+                    self._final(call, Failed("out of time"))
+                    self._tell(api.ClientGone(call.id))
+            case books.Probed(peer, outcome, latency, report):
+                self._tell(api.ProbeEnded(peer.engine, outcome, latency, report))
+            case books.Due(name):
+                self._tell(api.TimerDue(name))
+            case News():
+                self._on_news(event)
+            case books.Closing():
+                self._tell(api.Closing())
+                for call in list(self.open.values()):
+                    self._final(call, Failed("ending"))
+            case _:
+                raise TypeError(f"no such event: {event!r}")
+
+    # ---- what comes in --------------------------------------------------------------------------------
+
+    def _on_asked(self, call: Call) -> None:
+        if not call.open:
+            return
+        if call.id in self.open:
+            call.open = False
+            call.reply(call, Failed("the id of a request that is open"))
+            return
+        self.open[call.id] = call
+        patience = call.deadline - time.monotonic()  # what waiting in the queue has left of it
+        self.hub.timers.at(call.deadline + OVERTIME, self.queue.put, books.Expired(call))
+        self._tell(api.Request(call.id, call.cls, max(0.0, patience), call.tenant,
+                               data_set=call.data_set))
+
+    def _on_ended(self, end: books.Ended) -> None:
+        attempt = end.attempt
+        call, outcome = attempt.call, end.outcome
+        if call.attempt is attempt:
+            call.attempt = None
+        now = time.monotonic()
+        if outcome is api.Outcome.OK and call.open:
+            if now <= call.deadline + OVERTIME:
+                self._final(call, Served(end.result))
+            else:
+                outcome = api.Outcome.TIMEOUT
+        self._tell(api.AttemptEnded(call.id, attempt.number, attempt.peer.engine, outcome,
+                                    now - attempt.began, not call.open, end.work, end.memory_mb, end.report))
+
+    def _on_news(self, news: News) -> None:
+        for member in news.members:
+            known = self.peers.get(member.engine)
+            if known is None or known.address != member.address or member.started > known.started:
+                if known is not None:
+                    known.retired = True
+                    self.engines.retire(known)
+                self.peers[member.engine] = Peer(member.engine, member.address, member.state, member.started)
+                continue
+            known.state = member.state
+            if not known.takes_work:
+                self.engines.retire(known)
+        if news.whole:
+            named = {member.engine for member in news.members}
+            for engine, peer in self.peers.items():
+                if engine not in named:
+                    peer.state = api.EngineState.GONE
+                    self.engines.retire(peer)
+        mode = api.ListMode.CHANGES
+        if news.whole:
+            mode = api.ListMode.COMPLETE if self.listed else api.ListMode.REMEMBERED
+        self.listed = True
+        self._tell(api.ListUpdate(mode, tuple(
+            api.EngineEntry(m.engine, m.state, m.kind, m.zone, m.cell, m.started) for m in news.members)))
+        for engine, peer in list(self.peers.items()):
+            if peer.state is api.EngineState.GONE and engine not in self.gateway.fleet.engines:
+                del self.peers[engine]
+
+    # ---- what the module decides ----------------------------------------------------------------------
+
+    def _tell(self, event: api.Event) -> None:
+        for action in self.gateway.handle(self.clock(), event):
+            self._act(action)
+
+    def _act(self, action: api.Action) -> None:
+        match action:
+            case api.Send(request, engine, timeout):
+                self._send(self.open[request], self.peers[engine], timeout)
+            case api.SetTerms(request, _, priority):
+                call = self.open.get(request)
+                if call is not None:
+                    call.priority = priority
+                    if call.attempt is not None and call.attempt.priority != priority:
+                        call.attempt.priority = priority
+                        self.engines.rank(call.attempt, priority)
+            case api.Refuse(request, come_back):
+                self._final(self.open.get(request), Refused(come_back))
+            case api.Fail(request):
+                self._final(self.open.get(request), Failed())
+            case api.Cancel(request, number):
+                call = self.open.get(request)
+                if call is not None and call.attempt is not None and call.attempt.number == number:
+                    self.engines.cancel(call.attempt)
+            case api.SetTimer(delay, name):
+                self.hub.timers.after(delay, self.queue.put, books.Due(name))
+            case api.Probe(engine):
+                self.engines.probe(self.peers[engine])
+            case api.Log(text):
+                self.hub.log(text)
+            case api.Tell() | api.WatchList():
+                pass  # neither is to be had here: front ends share nothing, the list comes unasked
+
+    def _send(self, call: Call, peer: Peer, timeout: float) -> None:
+        now = time.monotonic()
+        until = min(call.deadline, now + timeout) if timeout > 0 else call.deadline
+        attempt = Attempt(call, peer, call.sends, until, call.priority)
+        call.sends += 1
+        call.attempt = attempt
+        self.engines.start(attempt)
+
+    def _final(self, call: Call | None, final: Final) -> None:
+        """The one place that answers: once, and only what is open."""
+        if call is not None and call.open:
+            self._close(call)
+            call.reply(call, final)
+
+    def _close(self, call: Call) -> None:
+        call.open = False
+        if self.open.get(call.id) is call:
+            del self.open[call.id]
+        if call.attempt is not None:
+            self.engines.cancel(call.attempt)
--- /dev/null
+++ b/aspenrill/engines/__init__.py
@@ -0,0 +1,1 @@
+"""Speaking to engines: attempts, their notes and answers, cancels and probes."""
--- /dev/null
+++ b/aspenrill/engines/http.py
@@ -0,0 +1,352 @@
+"""Engines that speak HTTP/1.1: an attempt from its first byte to its last page."""
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from typing import Any
+
+from ..api import NoteKind, Outcome, Settings
+from ..core.books import Attempt, Ended, Noted, Peer, Probed, Result
+from ..net.conn import Connection, Refused, left
+from ..net.hub import Closed, Hub, TimedOut
+from ..settings import FIELDS
+from ..wire import Malformed, http1
+from .pool import Pools
+
+SILENT = 1.0  # seconds without a word on one call, after which the engine is asked anew on another connection
+DEAF = 2.2  # seconds without a word at all, after which the attempt is given up
+UNASKED = 2.05  # seconds after which an engine has dropped a query that nobody asks for
+PROBE_FOR = 1.0
+DELETE_FOR = 0.6
+MOST_PAGE, MOST_RESULT = 6000, 48000
+NOTES = {"frac": NoteKind.PROGRESS, "missing": NoteKind.SPILLS, "parked": NoteKind.WAITS}
+
+
+class Cancelled(Exception):
+    """The attempt is no longer wanted."""
+
+
+class Lost(Exception):
+    """A call broke or stayed silent on its connection; the engine may have had it."""
+
+
+class Over(Exception):
+    """The attempt has come to its end."""
+
+    def __init__(self, outcome: Outcome, **more: Any) -> None:
+        super().__init__(outcome)
+        self.outcome, self.more = outcome, more
+
+
+def meter(text: str | None, fields: tuple[str, ...]) -> tuple[float, ...] | None:
+    """A load report in the order of the settings; None where there is none or it cannot be read."""
+    told = {}
+    for part in (text or "").split(";"):
+        name, _, value = part.strip().partition(":")
+        try:
+            told[FIELDS.get(name, name)] = float(value)
+        except ValueError:
+            continue
+    if not any(name in told for name in fields):
+        return None
+    return tuple(told.get(name, 0.0) for name in fields)
+
+
+def number(headers: dict[str, str], name: str) -> float | None:
+    """A figure from a header, if it is there and finite."""
+    try:
+        value = float(headers[name])
+    except (KeyError, ValueError):
+        return None
+    return value if 0 <= value < 1e12 else None
+
+
+class HttpEngines:
+    """Attempts, cancels and probes; ends and notes go to `post`."""
+
+    def __init__(self, hub: Hub, pools: Pools, settings: Settings, classes: list[str],
+                 post: Callable[[Any], None]) -> None:
+        self.hub, self.pools, self.settings, self.classes, self.post = hub, pools, settings, classes, post
+
+    def start(self, attempt: Attempt) -> None:
+        """Carry it out in a task of its own; one Ended follows."""
+        attempt.task = self.hub.spawn(self._run, attempt, name=f"attempt {attempt.call.id}")
+
+    def cancel(self, attempt: Attempt) -> None:
+        """Give it up."""
+        if not attempt.cancelled:
+            attempt.cancelled = True
+            attempt.task.interrupt(Cancelled())
+
+    def rank(self, attempt: Attempt, priority: int) -> None:
+        """A new priority for what is out."""
+        self.hub.spawn(self._rank, attempt, priority, name="priority")
+
+    def probe(self, peer: Peer) -> None:
+        """Ask for its load; one Probed follows."""
+        self.hub.spawn(self._probe, peer, name="probe")
+
+    def retire(self, peer: Peer) -> None:
+        """No new work goes there."""
+        self.pools.retire(peer)
+
+    # ---- an attempt -----------------------------------------------------------------------------------
+
+    def _run(self, attempt: Attempt) -> None:
+        end = Ended(attempt, Outcome.ERROR)
+        try:
+            self._carry(attempt)
+        except Over as over:
+            end = Ended(attempt, over.outcome, **over.more)
+            if over.outcome in (Outcome.RESET, Outcome.ERROR):
+                self._give_up(attempt)
+        except Cancelled:
+            self._give_up(attempt)
+            end = Ended(attempt, Outcome.CANCELLED)
+        except TimedOut:
+            end = Ended(attempt, Outcome.TIMEOUT)
+            if attempt.until < attempt.call.deadline:  # another attempt may follow: this one must be over
+                self._give_up(attempt)
+            else:
+                self.post(end)
+                end = None
+                self._give_up(attempt)
+        finally:
+            if end is not None:
+                self.post(end)
+
+    def _carry(self, attempt: Attempt) -> None:
+        conn = self._begin(attempt)
+        while True:
+            try:
+                if conn is None:
+                    conn = self._again(attempt)
+                    self._ask(attempt, conn, "GET", f"/data/{attempt.call.id}/0")
+                head, body = self._hear(attempt, conn)
+                while head.status == 202:
+                    self._note(attempt, head)
+                    self._ask(attempt, conn, "GET", f"/data/{attempt.call.id}/0")
+                    head, body = self._hear(attempt, conn)
+            except Lost:
+                conn = None
+                continue
+            break
+        if head.status != 200:
+            attempt.asked = None  # its end is written: there is nothing to give up
+            self._done(attempt, conn, head)
+            raise Over(self._refusal(head))
+        result = self._pages(attempt, conn, head, body)
+        work, memory = number(head.headers, "x-spent"), number(head.headers, "x-wanted")
+        raise Over(Outcome.OK, result=result, work=None if work is None else work / 1000, memory_mb=memory,
+                   report=meter(head.headers.get("x-meter"), self.settings.report_fields))
+
+    def _begin(self, attempt: Attempt) -> Connection:
+        """A connection on which the statement has been written; Over where it did not come to that."""
+        call = attempt.call
+        while True:
+            try:
+                conn = self.pools.take(attempt.peer, attempt.until)
+            except Refused as why:
+                raise Over(Outcome.MOOT if why.scarce else Outcome.CONNECT_FAILED) from None
+            if not attempt.wanted:  # the last look before the first byte
+                self.pools.give(attempt.peer, conn)
+                raise Over(Outcome.MOOT)
+            headers = {"X-Ticket": call.id, "X-Queue": self.classes[call.cls],
+                       "X-Max-Ms": str(max(1, int((attempt.until - time.monotonic()) * 1000))),
+                       "X-Weight-Class": str(attempt.priority)}
+            if call.key is not None:
+                headers["X-Nonce"] = call.key
+            before = conn.written
+            try:
+                conn.write(http1.request("POST", "/data", self._host(attempt.peer), headers, call.statement),
+                           min(attempt.until, time.monotonic() + SILENT))
+            except Closed:
+                self.pools.drop(conn)
+                if conn.written == before:  # not a byte has gone out: nothing ran
+                    if conn.reused:
+                        continue
+                    raise Over(Outcome.CONNECT_FAILED) from None
+                attempt.asked = attempt.heard = time.monotonic()
+                return None
+            except BaseException:
+                attempt.asked = time.monotonic() if conn.written != before else None
+                self.pools.drop(conn)
+                raise
+            attempt.asked = attempt.heard = time.monotonic()
+            return conn
+
+    def _again(self, attempt: Attempt) -> Connection:
+        """Another connection, to ask for what is out there; Over where the engine is dead or deaf."""
+        while True:
+            if time.monotonic() - attempt.heard > DEAF:
+                raise Over(Outcome.RESET)
+            left(attempt.until)
+            try:
+                return self.pools.take(attempt.peer, attempt.until, fresh=True)
+            except Refused as why:
+                if str(why) == "ECONNREFUSED":
+                    attempt.asked = None  # the process is gone, and the query with it
+                    raise Over(Outcome.RESET) from None
+                self.hub.sleep(0.02)
+
+    def _host(self, peer: Peer) -> str:
+        return f"{peer.address[0]}:{peer.address[1]}"
+
+    def _ask(self, attempt: Attempt, conn: Connection, method: str, path: str) -> None:
+        try:
+            conn.write(http1.request(method, path, self._host(attempt.peer), {}),
+                       min(attempt.until, time.monotonic() + SILENT))
+            attempt.asked = time.monotonic()
+        except (Closed, TimedOut):
+            self.pools.drop(conn)
+            left(attempt.until)
+            raise Lost from None
+        except BaseException:
+            self.pools.drop(conn)
+            raise
+
+    def _hear(self, attempt: Attempt, conn: Connection) -> tuple[http1.Head, bytes]:
+        try:
+            head, body = self._response(conn, min(attempt.until, time.monotonic() + SILENT))
+        except (Closed, TimedOut, Malformed) as why:
+            self.pools.drop(conn)
+            left(attempt.until)
+            if isinstance(why, Malformed):
+                raise Over(Outcome.ERROR) from None
+            raise Lost from None
+        except BaseException:
+            self.pools.drop(conn)
+            raise
+        attempt.heard = time.monotonic()
+        return head, body
+
+    def _response(self, conn: Connection, until: float) -> tuple[http1.Head, bytes]:
+        while True:
+            head = http1.response_head(conn.read_until(b"\r\n\r\n", until))
+            if head.status >= 200:
+                break
+        if head.chunked:
+            parts, size = [], 0
+            while count := http1.chunk_size(conn.read_until(b"\r\n", until)):
+                size += count
+                if size > http1.MOST_BODY:
+                    raise Malformed("body too long")
+                parts.append(conn.read(count, until))
+                conn.read_until(b"\r\n", until)
+            while conn.read_until(b"\r\n", until) != b"\r\n":
+                pass
+            return head, b"".join(parts)
+        length = head.length
+        if length is None:
+            raise Malformed("no length")
+        return head, conn.read(length, until)
+
+    def _done(self, attempt: Attempt, conn: Connection, head: http1.Head) -> None:
+        if head.stays:
+            self.pools.give(attempt.peer, conn)
+        else:
+            self.pools.drop(conn)
+
+    def _note(self, attempt: Attempt, head: http1.Head) -> None:
+        kind, amount = NOTES.get(head.headers.get("x-remark", "")), number(head.headers, "x-num")
+        if kind is not None and amount is not None:
+            self.post(Noted(attempt, kind, amount))
+
+    def _refusal(self, head: http1.Head) -> Outcome:
+        """What a bad end proves: only with X-Shed did nothing run."""
+        shed = head.headers.get("x-shed") == "1"
+        if head.status == 503 and shed:
+            return Outcome.FULL
+        if head.status == 504:
+            return Outcome.MOOT if shed else Outcome.TIMEOUT
+        return Outcome.ERROR
+
+    def _pages(self, attempt: Attempt, conn: Connection, head: http1.Head, body: bytes) -> Result:
+        """All pages, whole and in order, or the attempt has failed."""
+        pages = number(head.headers, "x-batches")
+        count = 1 if pages is None else int(pages)
+        if not 1 <= count <= MOST_RESULT:
+            self.pools.drop(conn)
+            raise Over(Outcome.ERROR)
+        parts, size = [self._page(body)], len(body)
+        while len(parts) < count:
+            try:
+                if conn is None:
+                    conn = self._again(attempt)
+                self._ask(attempt, conn, "GET", f"/data/{attempt.call.id}/{len(parts)}")
+                head, body = self._hear(attempt, conn)
+            except Lost:
+                conn = None
+                continue
+            size += len(body)
+            if head.status != 200 or head.headers.get("x-batch") != str(len(parts)) or size > MOST_RESULT:
+                self._done(attempt, conn, head)
+                raise Over(Outcome.ERROR)
+            parts.append(self._page(body))
+        self._done(attempt, conn, head)
+        return Result("text", b"".join(parts))
+
+    def _page(self, body: bytes) -> bytes:
+        if len(body) > MOST_PAGE or body and not body.endswith(b"\n"):
+            raise Over(Outcome.ERROR)
+        return body
+
+    def _give_up(self, attempt: Attempt) -> None:
+        """Return once the engine works on it no more: told so, dead, or unasked for long enough."""
+        attempt.cancelled, attempt.task.pending = True, None  # nothing interrupts this
+        if attempt.asked is None:
+            return
+        for fresh in (False, True):
+            try:
+                self._one(attempt.peer, "DELETE", f"/data/{attempt.call.id}", time.monotonic() + DELETE_FOR,
+                          fresh=fresh)
+                return
+            except Refused as why:
+                if str(why) == "ECONNREFUSED":
+                    return
+                break
+            except Closed:
+                continue
+            except (TimedOut, Malformed):
+                break
+        self.hub.sleep(attempt.asked + UNASKED - time.monotonic())
+
+    # ---- single calls ---------------------------------------------------------------------------------
+
+    def _one(self, peer: Peer, method: str, path: str, until: float, body: bytes = b"",
+             fresh: bool = False) -> http1.Head:
+        conn = self.pools.take(peer, until, fresh)
+        try:
+            conn.write(http1.request(method, path, self._host(peer), {}, body), until)
+            head = self._response(conn, until)[0]
+        except BaseException:
+            self.pools.drop(conn)
+            raise
+        if head.stays:
+            self.pools.give(peer, conn)
+        else:
+            self.pools.drop(conn)
+        return head
+
+    def _rank(self, attempt: Attempt, priority: int) -> None:
+        try:
+            self._one(attempt.peer, "PUT", f"/data/{attempt.call.id}", time.monotonic() + PROBE_FOR,
+                      str(priority).encode())
+        except (Refused, Closed, TimedOut, Malformed):
+            pass  # it keeps the priority it has
+
+    def _probe(self, peer: Peer) -> None:
+        began, outcome, report = time.monotonic(), Outcome.ERROR, None
+        try:
+            head = self._one(peer, "GET", "/stats", began + PROBE_FOR)
+            outcome = {200: Outcome.OK, 503: Outcome.FULL}.get(head.status, Outcome.ERROR)
+            report = meter(head.headers.get("x-meter"), self.settings.report_fields)
+        except Refused as why:
+            outcome = Outcome.OK if why.scarce else Outcome.CONNECT_FAILED
+        except TimedOut:
+            outcome = Outcome.TIMEOUT
+        except Closed:
+            outcome = Outcome.RESET
+        except Malformed:
+            pass
+        self.post(Probed(peer, outcome, time.monotonic() - began, report))
--- /dev/null
+++ b/aspenrill/engines/pool.py
@@ -0,0 +1,89 @@
+"""Connections to engines: kept per engine, closed before the engine would, within a budget of descriptors."""
+from __future__ import annotations
+
+import time
+from collections import deque
+
+from greenlet import getcurrent
+
+from ..core.books import Peer
+from ..net.conn import Connection, Refused, connect, left
+from ..net.hub import Hub, TimedOut
+
+
+class Pools:
+    """Takes and gives back connections; the idle ones lie with their engine's record."""
+
+    def __init__(self, hub: Hub, most: int, idle_for: float, connect_for: float) -> None:
+        self.hub, self.most, self.idle_for, self.connect_for = hub, most, idle_for, connect_for
+        self.count = 0
+        self.resting: dict[Connection, Peer] = {}  # idle ones, longest idle first
+        self.waiting: deque = deque()
+
+    def take(self, peer: Peer, until: float, fresh: bool = False) -> Connection:
+        """An idle connection that is still sound, or a new one; Refused where none comes up in time."""
+        while peer.idle and not fresh:
+            conn = peer.idle.pop()
+            conn.rest.cancel()
+            del self.resting[conn]
+            if conn.quiet():
+                conn.reused = True
+                return conn
+            self.drop(conn)
+        until = min(until, time.monotonic() + self.connect_for)
+        self._room(until)
+        self.count += 1
+        try:
+            conn = connect(self.hub, peer.address, until)
+        except BaseException:
+            self._left()
+            raise
+        conn.reused = False
+        return conn
+
+    def give(self, peer: Peer, conn: Connection) -> None:
+        """Back after a whole call."""
+        if not peer.takes_work or not conn.open or len(conn.incoming) or self.waiting:
+            self.drop(conn)
+            return
+        peer.idle.append(conn)
+        self.resting[conn] = peer
+        conn.rest = self.hub.timers.after(self.idle_for, self._tired, peer, conn)
+
+    def drop(self, conn: Connection) -> None:
+        """Close it."""
+        if conn.open:
+            conn.close()
+            self._left()
+
+    def retire(self, peer: Peer) -> None:
+        """Close what lies idle: the engine takes no more work, or is another process now."""
+        while peer.idle:
+            self._tired(peer, peer.idle[-1])
+
+    def _tired(self, peer: Peer, conn: Connection) -> None:
+        conn.rest.cancel()
+        peer.idle.remove(conn)
+        del self.resting[conn]
+        self.drop(conn)
+
+    def _left(self) -> None:
+        self.count -= 1
+        if self.waiting:
+            self.hub.wake(*self.waiting.popleft())
+
+    def _room(self, until: float) -> None:
+        while self.count >= self.most:
+            if self.resting:
+                conn = next(iter(self.resting))
+                self._tired(self.resting[conn], conn)
+                continue
+            wait = (getcurrent(), self.hub.begin_wait())
+            self.waiting.append(wait)
+            try:
+                self.hub.park(left(until))
+            except TimedOut:
+                raise Refused("no descriptor left for a connection", scarce=True) from None
+            finally:
+                if wait in self.waiting:
+                    self.waiting.remove(wait)
--- /dev/null
+++ b/aspenrill/fronts/__init__.py
@@ -0,0 +1,1 @@
+"""Speaking to clients: requests in, one final answer each out."""
--- /dev/null
+++ b/aspenrill/fronts/thrift.py
@@ -0,0 +1,169 @@
+"""The platform's front: framed Thrift, up to 32 open requests a connection."""
+from __future__ import annotations
+
+import re
+import time
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+from ..core.books import Asked, Call, Failed, Final, Left, Refused, Served
+from ..net.conn import Connection
+from ..net.hub import Closed, Hub, TimedOut
+from ..wire import Malformed, thrift
+from ..wire.sql import table_group
+
+MOST_FRAME = 256 * 1024
+MOST_OPEN = 64  # requests open on a connection; twice what clients hold
+IDLE_FOR = 60.0  # seconds after which a connection with nothing open is closed
+FRAME_FOR = 10.0  # seconds for the rest of a frame once it has begun
+WRITE_FOR = 10.0  # seconds for the writing of one answer
+ID = re.compile(r"[0-9a-fA-F]{16}\Z")
+
+
+class Service:
+    """What the connections of this front share."""
+
+    def __init__(self, hub: Hub, classes: list[str], keyed: list[bool], tenants: list[str],
+                 post: Callable[[Any], None], well: Callable[[], bool]) -> None:
+        self.hub, self.classes, self.keyed, self.tenants = hub, classes, keyed, tenants
+        self.post, self.well = post, well
+        self.writing = 0  # connections with answers on their way
+
+    def serve(self, conn: Connection) -> None:
+        """A connection's task, from its first frame to its end."""
+        Session(self, conn).run()
+
+
+class Session:
+    """One client's connection: a task that reads, and one that writes while there is something to write."""
+
+    def __init__(self, service: Service, conn: Connection) -> None:
+        self.service, self.conn = service, conn
+        self.open: dict[int, Call] = {}
+        self.answers: deque[bytes] = deque()
+        self.busy = False
+
+    def run(self) -> None:
+        """Read until the client closes; what is open then has lost its client."""
+        try:
+            while True:
+                self._frame()
+        finally:
+            self.conn.close()
+            for call in self.open.values():
+                self.service.post(Left(call))
+            self.open.clear()
+
+    def _frame(self) -> None:
+        while not len(self.conn.incoming):
+            try:
+                self.conn.fill(time.monotonic() + IDLE_FOR)
+            except TimedOut:
+                if not self.open and not self.busy:
+                    raise
+        until = time.monotonic() + FRAME_FOR
+        size = int.from_bytes(self.conn.read(4, until), "big")
+        if not 0 < size <= MOST_FRAME:
+            raise Closed(f"frame of {size} bytes")
+        data = self.conn.read(size, until)
+        arrived = time.monotonic()
+        try:
+            message = thrift.read_message(data)
+        except Malformed as why:
+            raise Closed(str(why)) from None
+        self._take(message, arrived)
+
+    def _take(self, message: thrift.Message, arrived: float) -> None:
+        name, seqid, args = message.name, message.seqid, message.args
+        if message.kind == thrift.ONEWAY and name == "forget":
+            wanted = (args or {}).get(1)
+            call = self.open.pop(wanted, None) if isinstance(wanted, int) else None
+            if call is not None:
+                self.service.post(Left(call))
+        elif message.kind != thrift.CALL:
+            if message.kind != thrift.ONEWAY:
+                self._say(thrift.broken(name, seqid, thrift.PROTOCOL, "not a call"))
+        elif args is None:
+            self._say(thrift.broken(name, seqid, thrift.PROTOCOL, "arguments cannot be read"))
+        elif name == "isWell":
+            self._say(thrift.answer(name, seqid, b"", {}, self.service.well()))
+        elif name != "serve":
+            self._say(thrift.broken(name, seqid, thrift.UNKNOWN_METHOD, "no such method"))
+        elif seqid in self.open:
+            self._say(thrift.broken(name, seqid, thrift.BAD_SEQUENCE, "sequence number of an open request"))
+        elif len(self.open) >= MOST_OPEN:
+            self._say(thrift.thrown(name, seqid, 1, {}))
+        else:
+            self._serve(seqid, args, arrived)
+
+    def _serve(self, seqid: int, args: dict[int, Any], arrived: float) -> None:
+        try:
+            call = self._call(args, arrived, lambda call, final: self._answer(seqid, call, final))
+        except ValueError as why:
+            self._say(thrift.thrown("serve", seqid, 2, {"reason": str(why)}))
+            return
+        self.open[seqid] = call
+        self.service.post(Asked(call))
+
+    def _call(self, args: dict[int, Any], arrived: float, reply: Callable[[Call, Final], None]) -> Call:
+        """The request; ValueError names the field that cannot be used."""
+        fields, statement = args.get(1), args.get(2)
+        if not isinstance(fields, dict) or not isinstance(statement, bytes):
+            raise ValueError("fields or body missing")
+        texts = {k.decode("utf-8", "replace"): v.decode("utf-8", "replace") for k, v in fields.items()
+                 if isinstance(k, bytes) and isinstance(v, bytes)}
+        service = self.service
+        if texts.get("kind") not in service.classes:
+            raise ValueError("kind: no such class")
+        cls = service.classes.index(texts["kind"])
+        if not ID.match(texts.get("req", "")):
+            raise ValueError("req: 16 hex digits are wanted")
+        wait = texts.get("timeout", "")
+        if not wait.isascii() or not wait.isdigit() or not 0 < len(wait) < 10:
+            raise ValueError("timeout: milliseconds are wanted")
+        if service.tenants and texts.get("owner") not in service.tenants:
+            raise ValueError("owner: no such tenant")
+        tenant = service.tenants.index(texts["owner"]) if service.tenants else 0
+        key = texts.get("opkey") or None
+        if service.keyed[cls] and key is None:
+            raise ValueError("opkey: missing")
+        if key is not None and not re.fullmatch(r"[!-~]{1,256}", key):
+            raise ValueError("opkey: cannot be passed on")
+        if not statement.strip():
+            raise ValueError("body: no statement")
+        return Call(texts["req"], cls, tenant, statement, key,
+                    table_group(statement.decode("utf-8", "replace")), arrived, int(wait) / 1000, reply)
+
+    def _answer(self, seqid: int, call: Call, final: Final) -> None:
+        if self.open.get(seqid) is not call:
+            return
+        del self.open[seqid]
+        match final:
+            case Served(result):
+                self._say(thrift.answer("serve", seqid, result.body, {}, True))
+            case Refused(come_back):
+                hint = {"holdoff": str(round(come_back * 1000))} if come_back > 0 else {}
+                self._say(thrift.thrown("serve", seqid, 1, hint))
+            case Failed(reason):
+                self._say(thrift.thrown("serve", seqid, 2, {"reason": reason} if reason else {}))
+
+    def _say(self, frame: bytes) -> None:
+        """Hand over to the writer, which exists only while there is something to write."""
+        if not self.conn.open:
+            return
+        self.answers.append(frame)
+        if not self.busy:
+            self.busy = True
+            self.service.writing += 1
+            self.service.hub.spawn(self._write, name="thrift writer")
+
+    def _write(self) -> None:
+        try:
+            while self.answers:
+                self.conn.write(self.answers.popleft(), time.monotonic() + WRITE_FOR)
+        except (Closed, TimedOut):
+            self.conn.close()  # the client can tell that the answer is not whole
+        finally:
+            self.busy = False
+            self.service.writing -= 1
--- /dev/null
+++ b/aspenrill/net/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks, waits and sockets: greenlet over select.poll."""
--- /dev/null
+++ b/aspenrill/net/hub.py
@@ -0,0 +1,218 @@
+"""The scheduler: tasks are greenlets, and one loop over select.poll wakes them.
+
+A task waits in `park` only, each wait with a timer of its own. A wake-up names the wait it is for, so that
+one that comes late wakes nothing else.
+"""
+from __future__ import annotations
+
+import select
+import sys
+import time
+import traceback
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+from greenlet import getcurrent, greenlet
+
+from .timers import Timers
+
+READ, WRITE = select.POLLIN, select.POLLOUT
+BROKEN = select.POLLERR | select.POLLHUP | select.POLLNVAL
+
+
+class TimedOut(Exception):
+    """A wait ended without what it waited for."""
+
+
+class Closed(Exception):
+    """The connection is over, by the other side's doing or our own."""
+
+
+class Task(greenlet):
+    """One line of work. `interrupt` ends its present or next wait with an exception."""
+
+    def __init__(self, hub: Hub, name: str, work: Callable[..., Any], args: tuple[Any, ...]) -> None:
+        super().__init__(self._run, hub.loop)
+        self.hub, self.name, self.work, self.args = hub, name, work, args
+        self.wait = 0  # number of the present wait; 0 while it runs
+        self.pending: BaseException | None = None
+
+    def _run(self) -> None:
+        try:
+            self.work(*self.args)
+        except Exception:
+            self.hub.report(f"task {self.name} ended", traceback.format_exc())
+        finally:
+            self.work, self.args = None, ()
+
+    def interrupt(self, error: BaseException) -> None:
+        """Raise `error` where the task waits, or where it waits next."""
+        if self.dead:
+            return
+        if self.wait:
+            self.hub.wake(self, self.wait, error)
+        else:
+            self.pending = error
+
+
+class Hub:
+    """Runs tasks until `stop`; `monotonic` seconds for every wait."""
+
+    def __init__(self, log: Callable[[str], None] | None = None) -> None:
+        self.timers = Timers(time.monotonic)
+        self.log = log or (lambda text: print(text, file=sys.stderr, flush=True))
+        self.loop = getcurrent()
+        self._poll = select.poll()
+        self._waits: dict[int, dict[int, tuple[Task, int]]] = {}
+        self._ready: deque[tuple[Task, int | None, Any]] = deque()
+        self._number = 0
+        self._running = False
+        self.stalled = 0.0  # longest round so far, for the log
+
+    def report(self, what: str, detail: str = "") -> None:
+        """An error for the people on call: never lost, never fatal."""
+        self.log(f"error: {what}" + (f"\n{detail.rstrip()}" if detail else ""))
+
+    def spawn(self, work: Callable[..., Any], *args: Any, name: str = "") -> Task:
+        """A new task, started in the next round."""
+        task = Task(self, name or work.__qualname__, work, args)
+        self._ready.append((task, None, None))
+        return task
+
+    # ---- waits ----------------------------------------------------------------------------------------
+
+    def begin_wait(self) -> int:
+        """The number of the wait that the running task is about to begin."""
+        task = getcurrent()
+        if task.pending is not None:
+            error, task.pending = task.pending, None
+            raise error
+        self._number += 1
+        task.wait = self._number
+        return self._number
+
+    def park(self, timeout: float | None) -> Any:
+        """Wait until woken; what the wake-up brought, or TimedOut."""
+        task = getcurrent()
+        wait = task.wait
+        timer = None
+        if timeout is not None:
+            timer = self.timers.after(max(0.0, timeout), self.wake, task, wait, TimedOut())
+        try:
+            value = self.loop.switch()
+        finally:
+            if timer is not None:
+                timer.cancel()
+        if isinstance(value, BaseException):
+            raise value
+        return value
+
+    def wake(self, task: Task, wait: int, value: Any = None) -> None:
+        """End that wait, unless it is over already."""
+        if task.wait == wait:
+            task.wait = 0
+            self._ready.append((task, wait, value))
+
+    def sleep(self, seconds: float) -> None:
+        """Wait for that long."""
+        self.begin_wait()
+        try:
+            self.park(seconds)
+        except TimedOut:
+            pass
+
+    def wait_fd(self, fd: int, mask: int, timeout: float | None) -> None:
+        """Wait until the descriptor can be read (READ) or written (WRITE), or is broken."""
+        slots = self._waits.setdefault(fd, {})
+        if mask in slots:
+            raise RuntimeError(f"two tasks wait for descriptor {fd}")
+        slots[mask] = (getcurrent(), self.begin_wait())
+        self._register(fd)
+        try:
+            self.park(timeout)
+        finally:
+            if self._waits.get(fd) is slots and slots.pop(mask, None):
+                self._register(fd)
+
+    def forget_fd(self, fd: int) -> None:
+        """The descriptor is about to be closed: whoever waits for it gets Closed."""
+        slots = self._waits.pop(fd, None)
+        if slots:
+            self._poll.unregister(fd)
+            for task, wait in slots.values():
+                self.wake(task, wait, Closed("closed here"))
+            slots.clear()
+
+    def _register(self, fd: int) -> None:
+        slots = self._waits.get(fd)
+        if slots:
+            mask = 0
+            for wanted in slots:
+                mask |= wanted
+            self._poll.register(fd, mask)
+        else:
+            self._waits.pop(fd, None)
+            try:
+                self._poll.unregister(fd)
+            except KeyError:
+                pass
+
+    # ---- the loop -------------------------------------------------------------------------------------
+
+    def run(self) -> None:
+        """Run tasks until `stop`."""
+        self.loop, self._running = getcurrent(), True
+        while self._running:
+            self.round()
+
+    def stop(self) -> None:
+        """End `run` after this round."""
+        self._running = False
+
+    def round(self) -> None:
+        """Run what is ready, then wait for descriptors and timers."""
+        for _ in range(len(self._ready)):
+            task, wait, value = self._ready.popleft()
+            if not task.dead:
+                task.parent = self.loop
+                task.switch(value) if wait is not None else task.switch()
+        if not self._running:
+            return
+        timeout = 0.0
+        if not self._ready:
+            due = self.timers.next_due()
+            timeout = None if due is None else max(0.0, due - time.monotonic())
+        events = self._poll.poll(None if timeout is None else timeout * 1000)
+        for fd, got in events:
+            slots = self._waits.get(fd)
+            for mask in (READ, WRITE):
+                if slots and mask in slots and got & (mask | BROKEN):
+                    self.wake(*slots[mask])
+        self.timers.run_due()
+
+
+class Queue:
+    """First in, first out; `put` never waits, and one task gets."""
+
+    def __init__(self, hub: Hub) -> None:
+        self.hub, self.items = hub, deque()
+        self._getter: tuple[Task, int] | None = None
+
+    def put(self, item: Any) -> None:
+        """Add an item and wake the getter."""
+        self.items.append(item)
+        if self._getter is not None:
+            getter, self._getter = self._getter, None
+            self.hub.wake(*getter)
+
+    def get(self, timeout: float | None = None) -> Any:
+        """The oldest item; TimedOut if none comes in time."""
+        while not self.items:
+            wait = self.hub.begin_wait()
+            self._getter = (getcurrent(), wait)
+            try:
+                self.hub.park(timeout)
+            finally:
+                self._getter = None
+        return self.items.popleft()
--- /dev/null
+++ b/aspenrill/net/ring.py
@@ -0,0 +1,70 @@
+"""A bounded ring of bytes: one for each direction of a connection."""
+from __future__ import annotations
+
+
+class Ring:
+    """First in, first out. `space` and `data` give views to read into and to send from without a copy."""
+
+    __slots__ = ("_bytes", "_view", "_start", "_size", "capacity")
+
+    def __init__(self, capacity: int) -> None:
+        self.capacity = capacity
+        self._bytes = bytearray(capacity)
+        self._view = memoryview(self._bytes)
+        self._start = self._size = 0
+
+    def __len__(self) -> int:
+        return self._size
+
+    @property
+    def free(self) -> int:
+        """How many bytes still fit."""
+        return self.capacity - self._size
+
+    def _views(self, start: int, size: int) -> list[memoryview]:
+        start %= self.capacity
+        end = start + size
+        if end <= self.capacity:
+            return [self._view[start:end]] if size else []
+        return [self._view[start:], self._view[:end - self.capacity]]
+
+    def space(self) -> list[memoryview]:
+        """The free part, in order; `added` says how much of it was filled."""
+        return self._views(self._start + self._size, self.free)
+
+    def added(self, count: int) -> None:
+        """So many bytes of `space` now hold data."""
+        if not 0 <= count <= self.free:
+            raise ValueError(f"added {count} with {self.free} free")
+        self._size += count
+
+    def data(self) -> list[memoryview]:
+        """What is held, in order; `drop` says how much of it is done with."""
+        return self._views(self._start, self._size)
+
+    def drop(self, count: int) -> None:
+        """The oldest bytes are done with."""
+        if not 0 <= count <= self._size:
+            raise ValueError(f"dropped {count} of {self._size}")
+        self._size -= count
+        self._start = (self._start + count) % self.capacity if self._size else 0
+
+    def push(self, data: bytes | memoryview) -> int:
+        """Take in what fits of `data`; how much that was."""
+        count = min(len(data), self.free)
+        done = 0
+        for part in self._views(self._start + self._size, count):
+            part[:] = data[done:done + len(part)]
+            done += len(part)
+        self._size += count
+        return count
+
+    def peek(self, count: int) -> bytes:
+        """The oldest bytes, which stay."""
+        return b"".join(self._views(self._start, min(count, self._size)))
+
+    def pull(self, count: int) -> bytes:
+        """The oldest bytes, which go."""
+        taken = self.peek(count)
+        self.drop(len(taken))
+        return taken
--- /dev/null
+++ b/aspenrill/roster/__init__.py
@@ -0,0 +1,1 @@
+"""Where the list of engines comes from."""
--- /dev/null
+++ b/aspenrill/wire/http1.py
@@ -0,0 +1,86 @@
+"""HTTP/1.1 as a client speaks it: request heads out, response heads in."""
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from . import Malformed
+
+MOST_BODY = 65536
+
+
+@dataclass(frozen=True)
+class Head:
+    """Status and headers (names in lower case) of a response."""
+
+    status: int
+    headers: dict[str, str]
+
+    @property
+    def stays(self) -> bool:
+        """Whether the connection may carry another call."""
+        return self.headers.get("connection", "").lower() != "close"
+
+    @property
+    def chunked(self) -> bool:
+        """Whether the body comes in chunks."""
+        return "chunked" in self.headers.get("transfer-encoding", "").lower()
+
+    @property
+    def length(self) -> int | None:
+        """Bytes of the body; None where only the end of the connection tells."""
+        if self.status in (204, 304) or 100 <= self.status < 200:
+            return 0
+        text = self.headers.get("content-length")
+        if text is None:
+            return None
+        if not text.isascii() or not text.isdigit() or int(text) > MOST_BODY:
+            raise Malformed(f"content-length {text[:40]!r}")
+        return int(text)
+
+
+def request(method: str, path: str, host: str, headers: dict[str, str], body: bytes = b"") -> bytes:
+    """A whole request."""
+    lines = [f"{method} {path} HTTP/1.1", f"Host: {host}"]
+    for name, value in headers.items():
+        if "\r" in value or "\n" in value:
+            raise Malformed(f"line break in {name}")
+        lines.append(f"{name}: {value}")
+    if body or method in ("POST", "PUT"):
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+def response_head(block: bytes) -> Head:
+    """The head of a response, up to and with its empty line."""
+    try:
+        lines = block.decode("latin-1").split("\r\n")
+        version, status, *_ = lines[0].split(" ", 2)
+        code = int(status)
+    except ValueError:
+        raise Malformed(f"status line {block[:40]!r}") from None
+    if not version.startswith("HTTP/1.") or not 100 <= code <= 599:
+        raise Malformed(f"status line {lines[0][:40]!r}")
+    headers: dict[str, str] = {}
+    for line in lines[1:]:
+        if not line:
+            continue
+        name, colon, value = line.partition(":")
+        if not colon or not name or name != name.strip():
+            raise Malformed(f"header {line[:40]!r}")
+        name = name.lower()
+        if name == "content-length" and headers.get(name, value.strip()) != value.strip():
+            raise Malformed("two lengths")
+        headers[name] = value.strip()
+    return Head(code, headers)
+
+
+def chunk_size(line: bytes) -> int:
+    """Size of the chunk that a line announces."""
+    text = line.split(b";")[0].strip()
+    try:
+        size = int(text, 16)
+    except ValueError:
+        raise Malformed(f"chunk size {line[:20]!r}") from None
+    if not 0 <= size <= MOST_BODY or not text.isalnum():
+        raise Malformed(f"chunk size {line[:20]!r}")
+    return size
--- /dev/null
+++ b/aspenrill/wire/thrift.py
@@ -0,0 +1,137 @@
+"""Thrift's strict binary protocol, as far as the front needs it."""
+from __future__ import annotations
+
+import struct
+from dataclasses import dataclass
+from typing import Any
+
+from . import Malformed
+
+CALL, REPLY, EXCEPTION, ONEWAY = 1, 2, 3, 4
+UNKNOWN_METHOD, BAD_SEQUENCE, INTERNAL, PROTOCOL = 1, 4, 6, 7  # types of an application exception
+BOOL, BYTE, DOUBLE, I16, I32, I64, STRING, STRUCT, MAP, SET, LIST = 2, 3, 4, 6, 8, 10, 11, 12, 13, 14, 15
+VERSION = 0x8001
+DEEPEST = 8
+FIXED = {BOOL: ">b", BYTE: ">b", DOUBLE: ">d", I16: ">h", I32: ">i", I64: ">q"}
+
+
+@dataclass(frozen=True)
+class Message:
+    """A message's head, and its arguments by field number (None where they cannot be read)."""
+
+    kind: int
+    name: str
+    seqid: int
+    args: dict[int, Any] | None
+
+
+class _Reader:
+    def __init__(self, data: bytes) -> None:
+        self.data, self.at = data, 0
+
+    def unpack(self, form: str) -> Any:
+        end = self.at + struct.calcsize(form)
+        if end > len(self.data):
+            raise Malformed(f"message ends within a value at byte {self.at}")
+        value = struct.unpack_from(form, self.data, self.at)[0]
+        self.at = end
+        return value
+
+    def blob(self) -> bytes:
+        size = self.unpack(">i")
+        if not 0 <= size <= len(self.data) - self.at:
+            raise Malformed(f"length {size} at byte {self.at - 4}")
+        self.at += size
+        return self.data[self.at - size:self.at]
+
+    def count(self, least: int) -> int:
+        """Number of elements, each of at least so many bytes."""
+        count = self.unpack(">i")
+        if not 0 <= count * least <= len(self.data) - self.at:
+            raise Malformed(f"{count} elements at byte {self.at - 4}")
+        return count
+
+    def value(self, kind: int, depth: int) -> Any:
+        if kind in FIXED:
+            value = self.unpack(FIXED[kind])
+            return bool(value) if kind == BOOL else value
+        if kind == STRING:
+            return self.blob()
+        if depth >= DEEPEST:
+            raise Malformed("nested too deeply")
+        if kind == STRUCT:
+            return self.struct(depth + 1)
+        if kind == MAP:
+            key, item = self.unpack(">b"), self.unpack(">b")
+            pairs = [(self.value(key, depth + 1), self.value(item, depth + 1)) for _ in range(self.count(2))]
+            if key in (STRUCT, MAP, SET, LIST):
+                return pairs
+            return dict(pairs)
+        if kind in (SET, LIST):
+            item = self.unpack(">b")
+            return [self.value(item, depth + 1) for _ in range(self.count(1))]
+        raise Malformed(f"no such type: {kind}")
+
+    def struct(self, depth: int) -> dict[int, Any]:
+        found = {}
+        while kind := self.unpack(">b"):
+            number = self.unpack(">h")
+            found[number] = self.value(kind, depth)
+        return found
+
+
+def read_message(frame: bytes) -> Message:
+    """The message of a frame. Malformed where not even its head can be read, so that none can answer it."""
+    reader = _Reader(frame)
+    head = reader.unpack(">I")
+    if head >> 16 != VERSION:
+        raise Malformed("not the strict binary protocol")
+    name = reader.blob().decode("utf-8", "replace")
+    seqid = reader.unpack(">i")
+    try:
+        args = reader.struct(0)
+        if reader.at != len(frame):
+            args = None
+    except Malformed:
+        args = None
+    return Message(head & 0xff, name, seqid, args)
+
+
+def blob(data: bytes) -> bytes:
+    """A string or binary value."""
+    return struct.pack(">i", len(data)) + data
+
+
+def field(kind: int, number: int, value: bytes) -> bytes:
+    """A field of a struct."""
+    return struct.pack(">bh", kind, number) + value
+
+
+def text_map(fields: dict[str, str]) -> bytes:
+    """A value of type map<string,string>."""
+    pairs = b"".join(blob(k.encode()) + blob(v.encode()) for k, v in fields.items())
+    return struct.pack(">bbi", STRING, STRING, len(fields)) + pairs
+
+
+def frame(kind: int, name: str, seqid: int, body: bytes) -> bytes:
+    """A whole framed message; the body is the fields of its struct."""
+    head = struct.pack(">I", VERSION << 16 | kind) + blob(name.encode()) + struct.pack(">i", seqid)
+    return struct.pack(">i", len(head) + len(body) + 1) + head + body + b"\0"
+
+
+def answer(name: str, seqid: int, body: bytes, fields: dict[str, str], good: bool) -> bytes:
+    """A reply that holds an Answer."""
+    inner = (field(STRING, 1, blob(body)) + field(MAP, 2, text_map(fields))
+             + field(BOOL, 3, b"\1" if good else b"\0") + b"\0")
+    return frame(REPLY, name, seqid, field(STRUCT, 0, inner))
+
+
+def thrown(name: str, seqid: int, number: int, fields: dict[str, str]) -> bytes:
+    """A reply that holds a declared exception: field 1 is Shed, 2 is Fault."""
+    return frame(REPLY, name, seqid, field(STRUCT, number, field(MAP, 1, text_map(fields)) + b"\0"))
+
+
+def broken(name: str, seqid: int, kind: int, text: str) -> bytes:
+    """An application exception."""
+    body = field(STRING, 1, blob(text.encode())) + field(I32, 2, struct.pack(">i", kind))
+    return frame(EXCEPTION, name, seqid, body)
