--- a/aspenrill/api.py
+++ b/aspenrill/api.py
@@ -154,7 +154,7 @@
     started: float = 0.0
 
 
-@dataclass(frozen=True)
+@dataclass(slots=True)
 class ListUpdate:
     """News of the engine list."""
 
@@ -162,7 +162,7 @@
     entries: tuple[EngineEntry, ...] = ()
 
 
-@dataclass(frozen=True)
+@dataclass(slots=True)
 class Request:
     """A client's request; the gateway now owes exactly one final answer."""
 
@@ -177,7 +177,7 @@
     client_retry: bool = False
 
 
-@dataclass(frozen=True)
+@dataclass(slots=True)
 class AttemptEnded:
     """How an attempt finished. `closed`: the request is over, nothing is owed any more."""
 
@@ -192,7 +192,7 @@
     report: tuple[float, ...] | None = None
 
 
-@dataclass(frozen=True)
+@dataclass(slots=True)
 class AttemptNote:
     """Word on an attempt that is still out."""
 
@@ -203,7 +203,7 @@
     amount: float
 
 
-@dataclass(frozen=True)
+@dataclass(slots=True)
 class StreamStarted:
     """The answer has begun; the attempt belongs to the client from here on."""
 
@@ -212,14 +212,14 @@
     engine: str
 
 
-@dataclass(frozen=True)
+@dataclass(slots=True)
 class ClientGone:
     """The client left; nothing is owed any more."""
 
     request: str
 
 
-@dataclass(frozen=True)
+@dataclass(slots=True)
 class ProbeEnded:
     """What a probe brought back."""
 
@@ -229,14 +229,14 @@
     report: tuple[float, ...] | None = None
 
 
-@dataclass(frozen=True)
+@dataclass(slots=True)
 class TimerDue:
     """A timer set by the gateway has come due."""
 
     name: str
 
 
-@dataclass(frozen=True)
+@dataclass(slots=True)
 class PeerMessage:
     """A message from another gateway."""
 
@@ -244,7 +244,7 @@
     data: bytes = field(repr=False)
 
 
-@dataclass(frozen=True)
+@dataclass(slots=True)
 class Closing:
     """The gateway's program is about to end: every request gets its final answer now."""
 
@@ -253,7 +253,7 @@
          | TimerDue | PeerMessage | Closing)
 
 
-@dataclass(frozen=True)
+@dataclass(slots=True)
 class Send:
     """Hand the request to an engine. `timeout` 0: until the client quits."""
 
@@ -262,7 +262,7 @@
     timeout: float = 0.0
 
 
-@dataclass(frozen=True)
+@dataclass(slots=True)
 class SetTerms:
     """Memory (0: the engine's choice) for the next attempt, priority also for attempts that are out."""
 
@@ -271,7 +271,7 @@
     priority: int
 
 
-@dataclass(frozen=True)
+@dataclass(slots=True)
 class Refuse:
     """Final answer: refused, the client may try again without harm, after `come_back` if given."""
 
@@ -279,14 +279,14 @@
     come_back: float = 0.0
 
 
-@dataclass(frozen=True)
+@dataclass(slots=True)
 class Fail:
     """Final answer: failed, promising nothing about the effect."""
 
     request: str
 
 
-@dataclass(frozen=True)
+@dataclass(slots=True)
 class Cancel:
     """Stop waiting for one attempt."""
 
@@ -294,26 +294,26 @@
     attempt: int
 
 
-@dataclass(frozen=True)
+@dataclass(slots=True)
 class Probe:
     """Ask an engine for its load."""
 
     engine: str
 
 
-@dataclass(frozen=True)
+@dataclass(slots=True)
 class Tell:
     """A message of at most 256 bytes to every other gateway; it may be lost."""
 
     data: bytes
 
 
-@dataclass(frozen=True)
+@dataclass(slots=True)
 class WatchList:
     """Subscribe to changes of the engine list."""
 
 
-@dataclass(frozen=True)
+@dataclass(slots=True)
 class SetTimer:
     """Ask for a TimerDue."""
 
@@ -321,7 +321,7 @@
     name: str
 
 
-@dataclass(frozen=True)
+@dataclass(slots=True)
 class Log:
     """A line for the people on call."""
 
--- a/aspenrill/core/books.py
+++ b/aspenrill/core/books.py
@@ -51,7 +51,7 @@
 Final = Served | Refused | Failed
 
 
-@dataclass(eq=False)
+@dataclass(eq=False, slots=True)
 class Call:
     """A request that a front has taken. Times are of the monotonic clock."""
 
@@ -68,6 +68,7 @@
     sends: int = 0
     priority: int = 1
     attempt: Attempt | None = None  # the one that is out
+    overtime: Any = None  # the timer past its deadline
 
     @property
     def deadline(self) -> float:
@@ -75,7 +76,7 @@
         return self.arrived + self.patience
 
 
-@dataclass(eq=False)
+@dataclass(eq=False, slots=True)
 class Peer:
     """An engine as the roster names it. Connections belong to this record, not to the address."""
 
@@ -92,7 +93,7 @@
         return self.state is EngineState.LIVE and not self.retired
 
 
-@dataclass(eq=False)
+@dataclass(eq=False, slots=True)
 class Attempt:
     """One try at an engine, out until its end is reported."""
 
@@ -116,28 +117,28 @@
 
 # ---- what reaches the owner's queue -------------------------------------------------------------------
 
-@dataclass(frozen=True)
+@dataclass(slots=True)
 class Asked:
     """A front has taken a request."""
 
     call: Call
 
 
-@dataclass(frozen=True)
+@dataclass(slots=True)
 class Left:
     """The client of a request has gone."""
 
     call: Call
 
 
-@dataclass(frozen=True)
+@dataclass(slots=True)
 class Expired:
     """A request is past its deadline and has no answer."""
 
     call: Call
 
 
-@dataclass(frozen=True)
+@dataclass(slots=True)
 class Ended:
     """An attempt is over."""
 
@@ -149,7 +150,7 @@
     report: tuple[float, ...] | None = None
 
 
-@dataclass(frozen=True)
+@dataclass(slots=True)
 class Noted:
     """A note on an attempt that is out."""
 
@@ -158,7 +159,7 @@
     amount: float
 
 
-@dataclass(frozen=True)
+@dataclass(slots=True)
 class Probed:
     """What a probe brought."""
 
@@ -168,13 +169,13 @@
     report: tuple[float, ...] | None = None
 
 
-@dataclass(frozen=True)
+@dataclass(slots=True)
 class Due:
     """A timer of the module."""
 
     name: str
 
 
-@dataclass(frozen=True)
+@dataclass(slots=True)
 class Closing:
     """The program is about to end: whatever is open gets its answer now."""
--- a/aspenrill/core/owner.py
+++ b/aspenrill/core/owner.py
@@ -69,40 +69,12 @@
 
     def take(self, event: Any) -> None:
         """One event, and all that the module makes of it."""
-        match event:
-            case books.Asked(call):
-                self._on_asked(call)
-            case books.Ended():
-                self._on_ended(event)
-            case books.Noted(attempt, kind, amount):
-                if attempt.call.open:
-                    self._tell(api.AttemptNote(attempt.call.id, attempt.number, attempt.peer.engine, kind,
-                                               amount))
-            case books.Left(call):
-                if call.open:
-                    self._close(call)
-                    self._tell(api.ClientGone(call.id))
-            case books.Expired(call):
-                if call.open:
-                    self.hub.report(f"request {call.id} had no answer at its deadline")
-                    self._final(call, Failed("out of time"))
-                    self._tell(api.ClientGone(call.id))
-            case books.Probed(peer, outcome, latency, report):
-                self._tell(api.ProbeEnded(peer.engine, outcome, latency, report))
-            case books.Due(name):
-                self._tell(api.TimerDue(name))
-            case News():
-                self._on_news(event)
-            case books.Closing():
-                self._tell(api.Closing())
-                for call in list(self.open.values()):
-                    self._final(call, Failed("ending"))
-            case _:
-                raise TypeError(f"no such event: {event!r}")
+        self._takers[type(event)](self, event)
 
     # ---- what comes in --------------------------------------------------------------------------------
 
-    def _on_asked(self, call: Call) -> None:
+    def _on_asked(self, asked: books.Asked) -> None:
+        call = asked.call
         if not call.open:
             return
         if call.id in self.open:
@@ -111,7 +83,7 @@
             return
         self.open[call.id] = call
         patience = call.deadline - time.monotonic()  # what waiting in the queue has left of it
-        self.hub.timers.at(call.deadline + OVERTIME, self.queue.put, books.Expired(call))
+        call.overtime = self.hub.timers.at(call.deadline + OVERTIME, self.queue.put, books.Expired(call))
         self._tell(api.Request(call.id, call.cls, max(0.0, patience), call.tenant,
                                data_set=call.data_set))
 
@@ -129,6 +101,35 @@
         self._tell(api.AttemptEnded(call.id, attempt.number, attempt.peer.engine, outcome,
                                     now - attempt.began, not call.open, end.work, end.memory_mb, end.report))
 
+    def _on_note(self, note: books.Noted) -> None:
+        attempt = note.attempt
+        if attempt.call.open:
+            self._tell(api.AttemptNote(attempt.call.id, attempt.number, attempt.peer.engine, note.kind,
+                                       note.amount))
+
+    def _on_left(self, left: books.Left) -> None:
+        if left.call.open:
+            self._close(left.call)
+            self._tell(api.ClientGone(left.call.id))
+
+    def _on_expired(self, expired: books.Expired) -> None:
+        call = expired.call
+        if call.open:
+            self.hub.report(f"request {call.id} had no answer at its deadline")
+            self._final(call, Failed("out of time"))
+            self._tell(api.ClientGone(call.id))
+
+    def _on_probed(self, end: books.Probed) -> None:
+        self._tell(api.ProbeEnded(end.peer.engine, end.outcome, end.latency, end.report))
+
+    def _on_due(self, due: books.Due) -> None:
+        self._tell(api.TimerDue(due.name))
+
+    def _on_closing(self, _: books.Closing) -> None:
+        self._tell(api.Closing())
+        for call in list(self.open.values()):
+            self._final(call, Failed("ending"))
+
     def _on_news(self, news: News) -> None:
         for member in news.members:
             known = self.peers.get(member.engine)
@@ -209,5 +210,11 @@
         call.open = False
         if self.open.get(call.id) is call:
             del self.open[call.id]
+        if call.overtime is not None:
+            call.overtime.cancel()
         if call.attempt is not None:
             self.engines.cancel(call.attempt)
+
+    _takers = {books.Asked: _on_asked, books.Ended: _on_ended, books.Noted: _on_note, books.Left: _on_left,
+               books.Expired: _on_expired, books.Probed: _on_probed, books.Due: _on_due,
+               books.Closing: _on_closing, News: _on_news}
--- a/aspenrill/fronts/thrift.py
+++ b/aspenrill/fronts/thrift.py
@@ -149,9 +149,18 @@
                 self._say(thrift.thrown("serve", seqid, 2, {"reason": reason} if reason else {}))
 
     def _say(self, frame: bytes) -> None:
-        """Hand over to the writer, which exists only while there is something to write."""
+        """Pass it on at once, or as far as that goes; a writer exists only while something is left."""
         if not self.conn.open:
             return
+        if not self.busy:
+            try:
+                done = self.conn.offer(frame)
+            except Closed:
+                self.conn.close()
+                return
+            if done == len(frame):
+                return
+            frame = frame[done:]
         self.answers.append(frame)
         if not self.busy:
             self.busy = True
--- a/aspenrill/net/conn.py
+++ b/aspenrill/net/conn.py
@@ -57,7 +57,7 @@
             if not self.open:
                 raise Closed("closed here")
             try:
-                count = self.sock.recvmsg_into(self.incoming.space())[0]
+                count = self.sock.recv_into(self.incoming.space())
             except AGAIN:
                 self.hub.wait_fd(self.fd, READ, left(until))
                 continue
@@ -109,21 +109,30 @@
 
     def write(self, data: bytes, until: float | None) -> None:
         """Pass all of it to the system, at the pace at which the other side takes it."""
-        view = memoryview(data)
-        done = 0
-        while done < len(view) or len(self.outgoing):
-            done += self.outgoing.push(view[done:])
-            if not self.open:
-                raise Closed("closed here")
-            try:
-                count = self.sock.sendmsg(self.outgoing.data())
-            except AGAIN:
-                self.hub.wait_fd(self.fd, WRITE, left(until))
-                continue
-            except OSError as why:
-                raise Closed(str(why)) from None
+        done = self.offer(data)
+        while done < len(data) or len(self.outgoing):
+            if done < len(data):
+                done += self.outgoing.push(memoryview(data)[done:])
+            count = self._send(self.outgoing.data())
             self.outgoing.drop(count)
-            self.written += count
+            if not count:
+                self.hub.wait_fd(self.fd, WRITE, left(until))
+
+    def offer(self, data: bytes) -> int:
+        """Pass on what the system takes at once, if nothing waits before it; how much that was."""
+        return 0 if len(self.outgoing) else self._send(data)
+
+    def _send(self, data: bytes | memoryview) -> int:
+        if not self.open:
+            raise Closed("closed here")
+        try:
+            count = self.sock.send(data)
+        except AGAIN:
+            return 0
+        except OSError as why:
+            raise Closed(str(why)) from None
+        self.written += count
+        return count
 
 
 def connect(hub: Hub, address: tuple[str, int], until: float, ring: int = RING) -> Connection:
--- a/aspenrill/net/hub.py
+++ b/aspenrill/net/hub.py
@@ -19,6 +19,8 @@
 
 READ, WRITE = select.POLLIN, select.POLLOUT
 BROKEN = select.POLLERR | select.POLLHUP | select.POLLNVAL
+SLICE = 256  # turns of tasks between two looks at descriptors and timers
+LATE = object()  # what a wait's timer brings
 
 
 class TimedOut(Exception):
@@ -38,7 +40,7 @@
         self.wait = 0  # number of the present wait; 0 while it runs
         self.pending: BaseException | None = None
 
-    def _run(self) -> None:
+    def _run(self, _: Any) -> None:
         try:
             self.work(*self.args)
         except Exception:
@@ -64,11 +66,11 @@
         self.log = log or (lambda text: print(text, file=sys.stderr, flush=True))
         self.loop = getcurrent()
         self._poll = select.poll()
-        self._waits: dict[int, dict[int, tuple[Task, int]]] = {}
-        self._ready: deque[tuple[Task, int | None, Any]] = deque()
+        self._waits: dict[int, dict[int, tuple[Task, int]]] = {READ: {}, WRITE: {}}  # by descriptor
+        self._masks: dict[int, int] = {}  # what of each descriptor is registered
+        self._ready: deque[tuple[Task, Any]] = deque()
         self._number = 0
         self._running = False
-        self.stalled = 0.0  # longest round so far, for the log
 
     def report(self, what: str, detail: str = "") -> None:
         """An error for the people on call: never lost, never fatal."""
@@ -77,7 +79,7 @@
     def spawn(self, work: Callable[..., Any], *args: Any, name: str = "") -> Task:
         """A new task, started in the next round."""
         task = Task(self, name or work.__qualname__, work, args)
-        self._ready.append((task, None, None))
+        self._ready.append((task, None))
         return task
 
     # ---- waits ----------------------------------------------------------------------------------------
@@ -96,14 +98,16 @@
         """Wait until woken; what the wake-up brought, or TimedOut."""
         task = getcurrent()
         wait = task.wait
-        timer = None
-        if timeout is not None:
-            timer = self.timers.after(max(0.0, timeout), self.wake, task, wait, TimedOut())
-        try:
+        if timeout is None:
             value = self.loop.switch()
-        finally:
-            if timer is not None:
-                timer.cancel()
+        else:
+            timer = self.timers.after(timeout, self.wake, task, wait, LATE)
+            value = self.loop.switch()
+            timer.cancel()
+        if value is None:
+            return None
+        if value is LATE:
+            raise TimedOut
         if isinstance(value, BaseException):
             raise value
         return value
@@ -112,7 +116,7 @@
         """End that wait, unless it is over already."""
         if task.wait == wait:
             task.wait = 0
-            self._ready.append((task, wait, value))
+            self._ready.append((task, value))
 
     def sleep(self, seconds: float) -> None:
         """Wait for that long."""
@@ -124,39 +128,31 @@
 
     def wait_fd(self, fd: int, mask: int, timeout: float | None) -> None:
         """Wait until the descriptor can be read (READ) or written (WRITE), or is broken."""
-        slots = self._waits.setdefault(fd, {})
-        if mask in slots:
+        waits = self._waits[mask]
+        if fd in waits:
             raise RuntimeError(f"two tasks wait for descriptor {fd}")
-        slots[mask] = (getcurrent(), self.begin_wait())
-        self._register(fd)
+        mine = waits[fd] = (getcurrent(), self.begin_wait())
+        have = self._masks.get(fd, 0)
+        if not have & mask:
+            self._masks[fd] = have | mask
+            self._poll.register(fd, have | mask)
         try:
             self.park(timeout)
         finally:
-            if self._waits.get(fd) is slots and slots.pop(mask, None):
-                self._register(fd)
+            if waits.get(fd) is mine:  # not another's, who has the same number by now
+                del waits[fd]
+
+    def unwatch(self, fd: int) -> None:
+        """Nobody will wait for it for a while."""
+        if self._masks.pop(fd, 0):
+            self._poll.unregister(fd)
 
     def forget_fd(self, fd: int) -> None:
         """The descriptor is about to be closed: whoever waits for it gets Closed."""
-        slots = self._waits.pop(fd, None)
-        if slots:
-            self._poll.unregister(fd)
-            for task, wait in slots.values():
-                self.wake(task, wait, Closed("closed here"))
-            slots.clear()
-
-    def _register(self, fd: int) -> None:
-        slots = self._waits.get(fd)
-        if slots:
-            mask = 0
-            for wanted in slots:
-                mask |= wanted
-            self._poll.register(fd, mask)
-        else:
-            self._waits.pop(fd, None)
-            try:
-                self._poll.unregister(fd)
-            except KeyError:
-                pass
+        self.unwatch(fd)
+        for waits in self._waits.values():
+            if fd in waits:
+                self.wake(*waits.pop(fd), Closed("closed here"))
 
     # ---- the loop -------------------------------------------------------------------------------------
 
@@ -171,26 +167,42 @@
         self._running = False
 
     def round(self) -> None:
-        """Run what is ready, then wait for descriptors and timers."""
-        for _ in range(len(self._ready)):
-            task, wait, value = self._ready.popleft()
+        """Run what is ready, then look for descriptors and timers."""
+        ready, loop, turns = self._ready, self.loop, SLICE
+        while ready and turns:
+            turns -= 1
+            task, value = ready.popleft()
             if not task.dead:
-                task.parent = self.loop
-                task.switch(value) if wait is not None else task.switch()
+                task.parent = loop
+                task.switch(value)
         if not self._running:
             return
         timeout = 0.0
-        if not self._ready:
+        if not ready:
             due = self.timers.next_due()
-            timeout = None if due is None else max(0.0, due - time.monotonic())
-        events = self._poll.poll(None if timeout is None else timeout * 1000)
-        for fd, got in events:
-            slots = self._waits.get(fd)
-            for mask in (READ, WRITE):
-                if slots and mask in slots and got & (mask | BROKEN):
-                    self.wake(*slots[mask])
+            timeout = None if due is None else max(0.0, due - time.monotonic()) * 1000
+        for fd, got in self._poll.poll(timeout):
+            self._happened(fd, got)
         self.timers.run_due()
 
+    def _happened(self, fd: int, got: int) -> None:
+        """Wake who waits; a descriptor stays registered until it has news for nobody."""
+        idle = 0
+        for mask, waits in self._waits.items():
+            if got & (mask | BROKEN):
+                waiter = waits.pop(fd, None)
+                if waiter is not None:
+                    self.wake(*waiter)
+                else:
+                    idle |= mask
+        if idle and fd in self._masks:
+            keep = self._masks[fd] & ~idle
+            if keep and not got & BROKEN:
+                self._masks[fd] = keep
+                self._poll.register(fd, keep)
+            elif not any(fd in waits for waits in self._waits.values()) or not keep:
+                self.unwatch(fd)
+
 
 class Queue:
     """First in, first out; `put` never waits, and one task gets."""
--- a/aspenrill/net/ring.py
+++ b/aspenrill/net/ring.py
@@ -28,9 +28,12 @@
             return [self._view[start:end]] if size else []
         return [self._view[start:], self._view[:end - self.capacity]]
 
-    def space(self) -> list[memoryview]:
-        """The free part, in order; `added` says how much of it was filled."""
-        return self._views(self._start + self._size, self.free)
+    def space(self) -> memoryview:
+        """The first free stretch; `added` says how much of it was filled."""
+        at = self._start + self._size
+        if at >= self.capacity:
+            return self._view[at - self.capacity:self._start]
+        return self._view[at:]
 
     def added(self, count: int) -> None:
         """So many bytes of `space` now hold data."""
@@ -38,9 +41,9 @@
             raise ValueError(f"added {count} with {self.free} free")
         self._size += count
 
-    def data(self) -> list[memoryview]:
-        """What is held, in order; `drop` says how much of it is done with."""
-        return self._views(self._start, self._size)
+    def data(self) -> memoryview:
+        """The first stretch of what is held; `drop` says how much of it is done with."""
+        return self._view[self._start:min(self._start + self._size, self.capacity)]
 
     def drop(self, count: int) -> None:
         """The oldest bytes are done with."""
@@ -61,7 +64,10 @@
 
     def peek(self, count: int) -> bytes:
         """The oldest bytes, which stay."""
-        return b"".join(self._views(self._start, min(count, self._size)))
+        end = self._start + min(count, self._size)
+        if end <= self.capacity:
+            return bytes(self._view[self._start:end])
+        return b"".join((self._view[self._start:], self._view[:end - self.capacity]))
 
     def pull(self, count: int) -> bytes:
         """The oldest bytes, which go."""
--- a/aspenrill/state.py
+++ b/aspenrill/state.py
@@ -66,16 +66,44 @@
         self.update()
 
     def update(self) -> None:
-        """Take in what was learned since."""
-        counts = [c.asked / c.usual_work() for c in self.classes]
-        stays = [c.latency or c.spec.aim for c in self.classes]
-        running = [n * s for n, s in zip(counts, stays, strict=True)]
-        prices = [c.usual_work() / max(1e-3, c.spec.worth) for c in self.classes]
-        self.price = max(1e-6, sum(prices) / len(prices))
-        self.work = weighed([c.usual_work() for c in self.classes], counts)
-        self.threads = weighed([c.spec.threads for c in self.classes], running)
-        self.memory = weighed([c.need for c in self.classes], running)
-        self.stay = weighed(stays, running)
+        """Something was learned since: the means are taken anew when next asked for."""
+        self._price = None
+
+    @property
+    def price(self) -> float:
+        """Work for worth of the classes."""
+        if self._price is None:
+            total = 0.0
+            for c in self.classes:
+                total += c.usual_work() / max(1e-3, c.spec.worth)
+            self._price = max(1e-6, total / len(self.classes))
+        return self._price
+
+    def _counts(self) -> list[float]:
+        return [c.asked / c.usual_work() for c in self.classes]
+
+    def _running(self) -> list[float]:
+        return [n * (c.latency or c.spec.aim) for n, c in zip(self._counts(), self.classes, strict=True)]
+
+    @property
+    def work(self) -> float:
+        """Work of a request, as they are asked."""
+        return weighed([c.usual_work() for c in self.classes], self._counts())
+
+    @property
+    def threads(self) -> float:
+        """Threads of one that runs."""
+        return weighed([c.spec.threads for c in self.classes], self._running())
+
+    @property
+    def memory(self) -> float:
+        """Memory of one that runs."""
+        return weighed([c.need for c in self.classes], self._running())
+
+    @property
+    def stay(self) -> float:
+        """Latency of one that runs."""
+        return weighed([c.latency or c.spec.aim for c in self.classes], self._running())
 
 
 class Engine:
--- a/aspenrill/wire/http1.py
+++ b/aspenrill/wire/http1.py
@@ -40,14 +40,14 @@
 
 def request(method: str, path: str, host: str, headers: dict[str, str], body: bytes = b"") -> bytes:
     """A whole request."""
-    lines = [f"{method} {path} HTTP/1.1", f"Host: {host}"]
+    text = f"{method} {path} HTTP/1.1\r\nHost: {host}\r\n"
     for name, value in headers.items():
         if "\r" in value or "\n" in value:
             raise Malformed(f"line break in {name}")
-        lines.append(f"{name}: {value}")
+        text += f"{name}: {value}\r\n"
     if body or method in ("POST", "PUT"):
-        lines.append(f"Content-Length: {len(body)}")
-    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+        text += f"Content-Length: {len(body)}\r\n"
+    return f"{text}\r\n".encode() + body
 
 
 def response_head(block: bytes) -> Head:
--- a/aspenrill/wire/thrift.py
+++ b/aspenrill/wire/thrift.py
@@ -12,7 +12,9 @@
 BOOL, BYTE, DOUBLE, I16, I32, I64, STRING, STRUCT, MAP, SET, LIST = 2, 3, 4, 6, 8, 10, 11, 12, 13, 14, 15
 VERSION = 0x8001
 DEEPEST = 8
-FIXED = {BOOL: ">b", BYTE: ">b", DOUBLE: ">d", I16: ">h", I32: ">i", I64: ">q"}
+WORD, BYTE_, SHORT, INT = (struct.Struct(form) for form in (">I", ">b", ">h", ">i"))
+FIXED = {BOOL: BYTE_, BYTE: BYTE_, I16: SHORT, I32: INT, I64: struct.Struct(">q"),
+         DOUBLE: struct.Struct(">d")}
 
 
 @dataclass(frozen=True)
@@ -27,26 +29,28 @@
 
 class _Reader:
     def __init__(self, data: bytes) -> None:
-        self.data, self.at = data, 0
+        self.data, self.at, self.end = data, 0, len(data)
 
-    def unpack(self, form: str) -> Any:
-        end = self.at + struct.calcsize(form)
-        if end > len(self.data):
-            raise Malformed(f"message ends within a value at byte {self.at}")
-        value = struct.unpack_from(form, self.data, self.at)[0]
-        self.at = end
-        return value
+    def unpack(self, form: struct.Struct) -> Any:
+        at = self.at
+        self.at = at + form.size
+        if self.at > self.end:
+            raise Malformed(f"message ends within a value at byte {at}")
+        return form.unpack_from(self.data, at)[0]
 
     def blob(self) -> bytes:
-        size = self.unpack(">i")
-        if not 0 <= size <= len(self.data) - self.at:
-            raise Malformed(f"length {size} at byte {self.at - 4}")
-        self.at += size
-        return self.data[self.at - size:self.at]
+        at = self.at + 4
+        if at > self.end:
+            raise Malformed(f"message ends within a length at byte {self.at}")
+        size = int.from_bytes(self.data[at - 4:at], "big", signed=True)
+        self.at = at + size
+        if size < 0 or self.at > self.end:
+            raise Malformed(f"length {size} at byte {at - 4}")
+        return self.data[at:self.at]
 
     def count(self, least: int) -> int:
         """Number of elements, each of at least so many bytes."""
-        count = self.unpack(">i")
+        count = self.unpack(INT)
         if not 0 <= count * least <= len(self.data) - self.at:
             raise Malformed(f"{count} elements at byte {self.at - 4}")
         return count
@@ -62,20 +66,23 @@
         if kind == STRUCT:
             return self.struct(depth + 1)
         if kind == MAP:
-            key, item = self.unpack(">b"), self.unpack(">b")
+            key, item = self.unpack(BYTE_), self.unpack(BYTE_)
+            if key == item == STRING:
+                blob = self.blob
+                return {blob(): blob() for _ in range(self.count(8))}
             pairs = [(self.value(key, depth + 1), self.value(item, depth + 1)) for _ in range(self.count(2))]
             if key in (STRUCT, MAP, SET, LIST):
                 return pairs
             return dict(pairs)
         if kind in (SET, LIST):
-            item = self.unpack(">b")
+            item = self.unpack(BYTE_)
             return [self.value(item, depth + 1) for _ in range(self.count(1))]
         raise Malformed(f"no such type: {kind}")
 
     def struct(self, depth: int) -> dict[int, Any]:
         found = {}
-        while kind := self.unpack(">b"):
-            number = self.unpack(">h")
+        while kind := self.unpack(BYTE_):
+            number = self.unpack(SHORT)
             found[number] = self.value(kind, depth)
         return found
 
@@ -83,11 +90,11 @@
 def read_message(frame: bytes) -> Message:
     """The message of a frame. Malformed where not even its head can be read, so that none can answer it."""
     reader = _Reader(frame)
-    head = reader.unpack(">I")
+    head = reader.unpack(WORD)
     if head >> 16 != VERSION:
         raise Malformed("not the strict binary protocol")
     name = reader.blob().decode("utf-8", "replace")
-    seqid = reader.unpack(">i")
+    seqid = reader.unpack(INT)
     try:
         args = reader.struct(0)
         if reader.at != len(frame):
