Starts afresh on credit; refuse while behind; ask long queries less often

Seen: scan-load cancelled and sent anew up to five times by progress notes, then refused; one front end at its core's limit with 2,231 attempts out and 6,376 requests lost. Ruled out: time-outs of attempts (none), engines (slowdown 1.2). Cause: _on_note takes a long query for a bad plan, and nothing refused work that this program could not carry out in time.

--- a/aspenrill/api.py
+++ b/aspenrill/api.py
@@ -174,6 +174,7 @@
     memory_mb: float = 0.0
     work: float | None = None
     data_set: int | None = None
+    waited: float = 0.0  # seconds that the gateway's own program is behind
     client_retry: bool = False
 
 
--- a/aspenrill/control.py
+++ b/aspenrill/control.py
@@ -34,6 +34,8 @@
 NEWS_FOR = 2.0  # seconds in which a load as told fades to the fleet's mean, and failing ones count together
 CALM, PAGING, JAMMED = 0.9, 2 / 3, 2.0  # the told load a gap aims at; part of it where pages; one left out
 NEWS_MOST, NEWS_COST, TELL_FOR = 5, 16.0, 0.5  # engines in a message, its bytes as priced, seconds it is new
+PLANS, REPLAN = 4.0, 0.002  # starts afresh that a class has to its credit, and what an answer adds
+STALL = 0.05  # seconds in the gateway's own hands from which work for little worth is refused at once
 PROBES = 4.0  # probes earned by each request: those at once, and one while it is held
 TICK, WATCH = 0.05, 0.25  # seconds between looks at what is held, at what is out; later means an own stall
 
@@ -51,6 +53,7 @@
         self.rung, self.base_gap, self.next_entry, self.gap_until, self.look_at = 0, 0.0, 0.0, 0.0, now
         self.thin, self.news, self.paging = False, False, False  # own threads say too little; others tell
         self.ordinary, self.mean_load, self.mean_at = 1.0, 0.0, now  # the fleet's slowdown and told load
+        self.mean_worth = max(1e-3, sum(c.worth for c in settings.classes) / len(settings.classes))
         self.mix, self.met = Mix(self.classes), {}  # engines that own answers told of, and when
         self.readers_wait = any(c.waits_for_loads for c in settings.classes)
         self.timer_at, self.list_retry, self.back_at = math.inf, math.inf, now
@@ -222,6 +225,8 @@
         self.bytes = min(self.bytes + earned, 2 * NEWS_COST)
         if learned.spec.in_order and self.set.key_rest is not None:
             self.lines.join(query)
+        if ask.waited > STALL * (1 + learned.spec.worth / self.mean_worth):
+            return self._end(query)  # this gateway falls behind: what it takes on now would be late
         size = self._size(query)
         if self.rung and (self.news or size > BESIDE * LADDER ** (-2 * self.rung)):
             small = self.news and size < LADDER ** -self.rung
@@ -476,6 +481,9 @@
             self._probe(engine)  # answers may be lost on the way while the engine works
         if end.outcome is not Outcome.OK:
             return
+        if query.afresh and end.latency <= OVERDUE * query.expected * self.ordinary:
+            learned.plans = min(PLANS, learned.plans + 2.0)  # the plan it was, not the query
+        learned.plans = min(PLANS, learned.plans + REPLAN)
         engine.penalty = 0.0
         engine.ejected_until *= not self.news  # its trial went well
         if end.report:
@@ -505,4 +513,9 @@
         if note.kind is NoteKind.PROGRESS and note.amount > 0 and self.set.may_cancel:
             left = (self.now - query.sent_at) * (1 - note.amount) / note.amount
             if left > OVERDUE * query.expected * self.ordinary and self._may_repeat(query, query.engine):
+                learned = self.classes[query.ask.cls]
+                if query.afresh or learned.plans < 1.0:
+                    return  # it is as long as this: another start would be, too
+                query.afresh = True
+                learned.plans -= 1.0
                 self.actions.append(api.Cancel(note.request, note.attempt))  # a bad plan: start afresh
--- a/aspenrill/core/owner.py
+++ b/aspenrill/core/owner.py
@@ -82,10 +82,10 @@
             call.reply(call, Failed("the id of a request that is open"))
             return
         self.open[call.id] = call
-        patience = call.deadline - time.monotonic()  # what waiting in the queue has left of it
+        patience = call.deadline - time.monotonic()  # what waiting here has left of it
         call.overtime = self.hub.timers.at(call.deadline + OVERTIME, self.queue.put, books.Expired(call))
         self._tell(api.Request(call.id, call.cls, max(0.0, patience), call.tenant,
-                               data_set=call.data_set))
+                               data_set=call.data_set, waited=self.hub.lag()))
 
     def _on_ended(self, end: books.Ended) -> None:
         attempt = end.attempt
--- a/aspenrill/engines/http.py
+++ b/aspenrill/engines/http.py
@@ -17,6 +17,7 @@
 DEAF = 2.2  # seconds without a word at all, after which the attempt is given up
 UNASKED = 2.05  # seconds after which an engine has dropped a query that nobody asks for
 PROBE_FOR = 1.0
+PAUSE, PAUSE_LEAST, PAUSE_MOST = 0.5, 0.06, 1.0  # part of the time left that passes unasked, and its bounds
 DELETE_FOR = 0.6
 MOST_PAGE, MOST_RESULT = 6000, 48000
 NOTES = {"frac": NoteKind.PROGRESS, "missing": NoteKind.SPILLS, "parked": NoteKind.WAITS}
@@ -124,7 +125,8 @@
                     self._ask(attempt, conn, "GET", f"/data/{attempt.call.id}/0")
                 head, body = self._hear(attempt, conn)
                 while head.status == 202:
-                    self._note(attempt, head)
+                    share = self._note(attempt, head)
+                    conn = self._pause(attempt, conn, head, share)
                     self._ask(attempt, conn, "GET", f"/data/{attempt.call.id}/0")
                     head, body = self._hear(attempt, conn)
             except Lost:
@@ -247,10 +249,28 @@
         else:
             self.pools.drop(conn)
 
-    def _note(self, attempt: Attempt, head: http1.Head) -> None:
+    def _note(self, attempt: Attempt, head: http1.Head) -> float | None:
+        """Pass a note on; the share done, if that is what it tells."""
         kind, amount = NOTES.get(head.headers.get("x-remark", "")), number(head.headers, "x-num")
-        if kind is not None and amount is not None:
-            self.post(Noted(attempt, kind, amount))
+        if kind is None or amount is None:
+            return None
+        self.post(Noted(attempt, kind, amount))
+        return amount if kind is NoteKind.PROGRESS else None
+
+    def _pause(self, attempt: Attempt, conn: Connection, head: http1.Head, share: float | None) -> Connection:
+        """Ask a long query less often: not before a part of what its note leaves has passed."""
+        if not share:
+            return conn
+        ran = time.monotonic() - attempt.began
+        pause = min(PAUSE_MOST, PAUSE * ran * (1 - share) / share, attempt.until - time.monotonic())
+        if pause < PAUSE_LEAST:
+            return conn
+        self._done(attempt, conn, head)
+        self.hub.sleep(pause)
+        try:
+            return self.pools.take(attempt.peer, attempt.until)
+        except Refused:
+            raise Lost from None
 
     def _refusal(self, head: http1.Head) -> Outcome:
         """What a bad end proves: only with X-Shed did nothing run."""
--- a/aspenrill/fronts/thrift.py
+++ b/aspenrill/fronts/thrift.py
@@ -18,6 +18,7 @@
 IDLE_FOR = 60.0  # seconds after which a connection with nothing open is closed
 FRAME_FOR = 10.0  # seconds for the rest of a frame once it has begun
 WRITE_FOR = 10.0  # seconds for the writing of one answer
+MARGIN = 0.03  # seconds of a client's time kept back for the way of the answer; being behind comes on top
 ID = re.compile(r"[0-9a-fA-F]{16}\Z")
 
 
@@ -133,7 +134,8 @@
         if not statement.strip():
             raise ValueError("body: no statement")
         return Call(texts["req"], cls, tenant, statement, key,
-                    table_group(statement.decode("utf-8", "replace")), arrived, int(wait) / 1000, reply)
+                    table_group(statement.decode("utf-8", "replace")), arrived,
+                    max(0.0, int(wait) / 1000 - MARGIN - service.hub.lag()), reply)
 
     def _answer(self, seqid: int, call: Call, final: Final) -> None:
         if self.open.get(seqid) is not call:
--- a/aspenrill/net/hub.py
+++ b/aspenrill/net/hub.py
@@ -20,6 +20,7 @@
 READ, WRITE = select.POLLIN, select.POLLOUT
 BROKEN = select.POLLERR | select.POLLHUP | select.POLLNVAL
 SLICE = 256  # turns of tasks between two looks at descriptors and timers
+BEAT = 0.02  # seconds between two looks at how far behind the program is
 LATE = object()  # what a wait's timer brings
 
 
@@ -71,6 +72,8 @@
         self._ready: deque[tuple[Task, Any]] = deque()
         self._number = 0
         self._running = False
+        self._lag, self._beat_due = 0.0, time.monotonic() + BEAT
+        self.spawn(self.beat, name="beat")
 
     def report(self, what: str, detail: str = "") -> None:
         """An error for the people on call: never lost, never fatal."""
@@ -154,6 +157,19 @@
             if fd in waits:
                 self.wake(*waits.pop(fd), Closed("closed here"))
 
+    # ---- falling behind -------------------------------------------------------------------------------
+
+    def beat(self) -> None:
+        """A task's work: notice how late it is woken, by which `lag` tells how far behind this program is."""
+        while True:
+            self._beat_due = time.monotonic() + BEAT
+            self.sleep(BEAT)
+            self._lag = max(0.0, time.monotonic() - self._beat_due)
+
+    def lag(self) -> float:
+        """Seconds that what is ready has to wait here, as seen last, or more if that is overdue by now."""
+        return max(self._lag, time.monotonic() - self._beat_due)
+
     # ---- the loop -------------------------------------------------------------------------------------
 
     def run(self) -> None:
--- a/aspenrill/state.py
+++ b/aspenrill/state.py
@@ -38,6 +38,7 @@
     def __init__(self, spec: api.QueryClass) -> None:
         self.spec, self.latency, self.work, self.scale = spec, None, None, None
         self.need = 0.0  # memory of a usual query, in MB
+        self.plans = 4.0  # starts afresh to its credit, spent on queries that look like bad plans
         self.memory, self.fitted = 1.0, 0  # need over estimate, and how often it was stepped
         self.asked = self.usual_work()  # work asked so far; only its share among the classes counts
 
@@ -137,7 +138,7 @@
         self.ask, self.came, self.deadline = ask, now, now + ask.patience
         self.attempts: list[str] = []  # the engine of each attempt
         self.sent_at, self.expected, self.engine = 0.0, 0.0, None  # of the attempt that is out
-        self.ended, self.spilled, self.suspect = False, False, False
+        self.ended, self.spilled, self.suspect, self.afresh = False, False, False, False
         self.asked: list[Engine] = []  # probed for it at asked_at
         self.asked_at = -math.inf
         self.ran_at: float | None = None  # when the first attempt that may have run was sent
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -546,3 +546,26 @@
             see(g.handle(now, AttemptEnded(name, last, engine, bad, 0.1, bad is Outcome.OK)))
         see(timers(g, now))
     assert extra
+
+
+def test_a_long_query_is_not_started_afresh_again_and_again():
+    # its work is its own: without a credit every query of a wide spread was cancelled until it was refused
+    g = gateway("a", "b", may_cancel=True, most_attempts=5)
+    cancels = 0
+    for i in range(20):
+        g.handle(0.0, api.Request(f"r{i}", 1, 20.0))
+        for attempt in range(5):
+            note = api.AttemptNote(f"r{i}", attempt, "a", api.NoteKind.PROGRESS, 0.01)
+            if any(isinstance(a, api.Cancel) for a in g.handle(2.0, note)):
+                cancels += 1
+                g.handle(2.0, AttemptEnded(f"r{i}", attempt, "a", Outcome.CANCELLED, 2.0, False))
+    assert 1 <= cancels <= 4
+
+
+def test_a_gateway_that_falls_behind_refuses_little_worth_first():
+    # taking on what it cannot carry out in time made every answer late
+    g = gateway("a", classes=(LOOKUP, REPORT))
+    assert sends(g.handle(0.0, api.Request("r1", 0, 5.0)))
+    assert answers(g.handle(0.0, api.Request("r2", 0, 5.0, waited=0.1)))
+    assert sends(g.handle(0.0, api.Request("r3", 1, 20.0, waited=0.1)))
+    assert answers(g.handle(0.0, api.Request("r4", 1, 20.0, waited=1.0)))
