One load of a group on an engine, and loads first

Ruled out: cancels (now few), priorities alone. Cause: loads of one group stand in line on their engine; _start sent them there all the same.

--- a/aspenrill/control.py
+++ b/aspenrill/control.py
@@ -258,18 +258,22 @@
 
     def _release(self) -> None:
         """First come, first out among those that could start; what is past its tt goes at once."""
-        blocked = set()  # classes whose fresh queries no engine can take now
+        blocked = set()  # whose fresh queries no engine can take now
         for query in list(self.held.values()):
             if self._tt(query) < 0 and self.now > query.asked_at + 2 * TICK:
                 self._end(query, counted=True)
-            elif self._has_turn(query) and query.ask.cls not in blocked:
+            elif self._has_turn(query) and (kind := self._alike(query)) not in blocked:
                 waits = not self.news and self.now < query.asked_at + TICK and any(
                     e.healthy and e.heard_at < query.asked_at for e in query.asked)  # not for one that hangs
                 if not waits and not self._start(query):
                     if self.thin and self.now >= query.asked_at + FULL_FOR:
                         self._ask_some(query)
                     elif not self.thin and not query.attempts:
-                        blocked.add(query.ask.cls)
+                        blocked.add(kind)
+
+    def _alike(self, query: Query) -> tuple[int, int | None]:
+        """What finds room where another of it does: a class, and of loads the group that they hold."""
+        return query.ask.cls, query.ask.data_set if self.classes[query.ask.cls].spec.is_load else None
 
     def _step_gap(self) -> None:
         """The ladder of the paper: up by as many rungs as r proves, down one, each after a wait."""
@@ -309,6 +313,8 @@
 
     def _room(self, engine: Engine, query: Query) -> bool:
         """The limit from cores and share, binding only under pressure; thin: none for longer work there."""
+        if self.classes[query.ask.cls].spec.is_load and engine.loads.get(query.ask.data_set):
+            return False  # it would stand still there, and what holds the group is slower for it
         full, short = self.now < engine.full_until, self._size(query) < 1
         own = self.classes[query.ask.cls].spec.threads / (THREADS_A_CORE * engine.cores)
         pressed = full or (engine.load + own > PRESSED and self.now < engine.heard_at + WINDOW)
@@ -412,6 +418,7 @@
         limit *= slow and again and learned.spec.effect is not Effect.UNSAFE
         engine.out[ask.request] = self.out[ask.request] = query
         engine.threads += learned.spec.threads
+        engine.count_load(ask.data_set, learned.spec.is_load)
         if self.now < engine.cold_until:
             self._cold_turn(engine, ask.cls, after=True)
         trim(self.starts, self.now - WINDOW).append(self.now)
@@ -420,7 +427,7 @@
 
     def _priority(self, query: Query) -> int:
         """Short and worthy work first; a load that others wait for must not linger under them."""
-        if self.classes[query.ask.cls].spec.is_load and self.readers_wait:
+        if self.classes[query.ask.cls].spec.is_load:
             return 3
         return max(0, min(3, round(1.5 - math.log2(max(1e-6, self._size(query))))))
 
@@ -447,6 +454,7 @@
         engine, spec = query.engine, self.classes[query.ask.cls].spec
         del engine.out[end.request]
         engine.threads -= spec.threads
+        engine.count_load(query.ask.data_set, -spec.is_load)
         query.engine = None
         if not end.outcome.never_ran and query.ran_at is None:
             query.ran_at, query.ran_on = query.sent_at, engine
--- a/aspenrill/state.py
+++ b/aspenrill/state.py
@@ -115,8 +115,16 @@
         self.tag = (zlib.crc32(entry.engine.encode()) & 0xffff).to_bytes(2, "big")  # its name in news
         self.out: dict[str, Query] = {}  # attempts out, by request
         self.threads = 0
+        self.loads: dict[int | None, int] = {}  # own loads out, by the group that they hold
         self.forget(now)
 
+    def count_load(self, group: int | None, step: int) -> None:
+        """One more load out (1), or one fewer (-1); 0 where it is none."""
+        if step and group is not None:
+            self.loads[group] = self.loads.get(group, 0) + step
+            if not self.loads[group]:
+                del self.loads[group]
+
     def forget(self, now: float) -> None:
         """As it is when first told of, and after a restart."""
         self.told_at, self.cold_until = now, 0.0
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -569,3 +569,16 @@
     assert answers(g.handle(0.0, api.Request("r2", 0, 5.0, waited=0.1)))
     assert sends(g.handle(0.0, api.Request("r3", 1, 20.0, waited=0.1)))
     assert answers(g.handle(0.0, api.Request("r4", 1, 20.0, waited=1.0)))
+
+
+def test_loads_of_one_group_do_not_stand_in_line_on_an_engine():
+    # sent at once, each waited there for those before it, and nearly all came late
+    load = api.QueryClass(aim=3.0, patience=25.0, effect=Effect.KEYED, worth=12, threads=2, is_load=True)
+    g = gateway("a", "b", classes=(LOOKUP, load))
+    g.starts.extend([0.0] * 50)
+    g.classes[1].latency = 0.5
+    sent = [sends(g.handle(0.1, api.Request(f"r{i}", 1, 25.0, data_set=7))) for i in range(4)]
+    assert sorted(s[0].engine for s in sent[:2]) == ["a", "b"] and sent[2:] == [[], []]
+    assert sends(g.handle(0.1, api.Request("other", 1, 25.0, data_set=8)))
+    after = sends(g.handle(0.2, AttemptEnded("r0", 0, sent[0][0].engine, Outcome.OK, 0.1, True)))
+    assert [(s.request, s.engine) for s in after] == [("r2", sent[0][0].engine)]
