--- a/aspenrill/control.py
+++ b/aspenrill/control.py
@@ -86,7 +86,7 @@
                 self._watch()
                 self._step_gap()
         if self.held and not isinstance(event, (api.Request, api.AttemptNote)):
-            self._release()
+            self._release(self.thin or isinstance(event, api.TimerDue))
         busy = self.held or self.out or self.rung or self.ejected or self.list_retry < math.inf
         wait = TICK if self.held else WATCH
         if busy and now + wait < self.timer_at:
@@ -215,7 +215,7 @@
     # ---- admission: limit, hold queue, gap ------------------------------------------------------------
 
     def _on_request(self, ask: api.Request) -> None:
-        query = Query(ask, self.now)
+        query = Query(ask, self.now, self.classes[ask.cls].spec.is_load)
         self.queries[ask.request] = query
         trim(self.taken, self.now - self.set.retry_span).append(self.now)
         learned = self.classes[ask.cls]
@@ -256,13 +256,15 @@
         needs = max(learned.latency or spec.aim, self.news * self._work(query) / spec.threads)
         return min(aim, query.deadline - 3 * TICK) - self.now - needs
 
-    def _release(self) -> None:
+    def _release(self, expire: bool) -> None:
         """First come, first out among those that could start; what is past its tt goes at once."""
         blocked = set()  # whose fresh queries no engine can take now
         for query in list(self.held.values()):
+            if (kind := query.kind) in blocked and not expire:
+                continue  # most that wait wait for the same: a look at each would cost more than it finds
             if self._tt(query) < 0 and self.now > query.asked_at + 2 * TICK:
                 self._end(query, counted=True)
-            elif self._has_turn(query) and (kind := self._alike(query)) not in blocked:
+            elif kind not in blocked and self._has_turn(query):
                 waits = not self.news and self.now < query.asked_at + TICK and any(
                     e.healthy and e.heard_at < query.asked_at for e in query.asked)  # not for one that hangs
                 if not waits and not self._start(query):
@@ -271,10 +273,6 @@
                     elif not self.thin and not query.attempts:
                         blocked.add(kind)
 
-    def _alike(self, query: Query) -> tuple[int, int | None]:
-        """What finds room where another of it does: a class, and of loads the group that they hold."""
-        return query.ask.cls, query.ask.data_set if self.classes[query.ask.cls].spec.is_load else None
-
     def _step_gap(self) -> None:
         """The ladder of the paper: up by as many rungs as r proves, down one, each after a wait."""
         while len(self.entered) > FEWEST and self.entered[0] <= self.now - WINDOW:
@@ -379,8 +377,10 @@
         return extra + 1 <= (self.set.retry_free or 0) + self.set.retry_ratio * taken
 
     def _has_turn(self, query: Query) -> bool:
+        if not query.in_line:
+            return True
         rested = query.attempts or self.now >= self.key_rest.get(query.ask.key, 0.0)
-        return not query.in_line or bool(self.lines.first(query) and rested)
+        return bool(self.lines.first(query) and rested)
 
     def _cold_turn(self, engine: Engine, cls: int, after: bool = False) -> float:
         """When this class may next go to a cold engine, whose capacity is dealt out in turns of one query."""
--- a/aspenrill/state.py
+++ b/aspenrill/state.py
@@ -142,7 +142,8 @@
 class Query:
     """One request that this gateway took."""
 
-    def __init__(self, ask: api.Request, now: float) -> None:
+    def __init__(self, ask: api.Request, now: float, is_load: bool = False) -> None:
+        self.kind = (ask.cls, ask.data_set if is_load else None)  # finds room where another of it does
         self.ask, self.came, self.deadline = ask, now, now + ask.patience
         self.attempts: list[str] = []  # the engine of each attempt
         self.sent_at, self.expected, self.engine = 0.0, 0.0, None  # of the attempt that is out
