--- /dev/null
+++ b/Makefile
@@ -0,0 +1,22 @@
+# build, test, lint, run; VENV names another virtual environment (CI uses its own)
+VENV ?= .venv
+PY = $(VENV)/bin/python
+
+.PHONY: build test lint run check
+
+build:
+	test -d $(VENV) || python3 -m venv $(VENV)
+	$(VENV)/bin/pip -q install -r requirements.txt -r requirements-dev.txt
+
+test:
+	$(PY) -m pytest -q
+
+lint:
+	$(VENV)/bin/ruff check .
+
+# make run APP=billing.toml starts a sidecar; without APP a platform node, told by NODE_CONFIG
+run:
+	$(PY) -m aspenrill $(APP)
+
+check:
+	$(PY) -m aspenrill.tool check $(APP)
--- a/aspenrill/core/books.py
+++ b/aspenrill/core/books.py
@@ -9,21 +9,13 @@
 from ..api import EngineState, NoteKind, Outcome
 
 
-@dataclass(frozen=True)
-class Column:
-    """A column of a result; `wire` is what the engine's protocol says of its type, None for text."""
-
-    name: str
-    wire: Any = None
-
-
 @dataclass(frozen=True)
 class Result:
-    """Rows as an engine gave them. `body` in the form of its wire: `form` names it, `columns` describe it."""
+    """Rows as an engine gave them: as `text` with tabs and line feeds in `body`, or as `tokens` of TDS."""
 
     form: str
     body: bytes
-    columns: tuple[Column, ...] = ()
+    tokens: tuple[bytes, ...] = ()
     rows: int = 0
 
 
@@ -107,6 +99,7 @@
     began: float = field(default_factory=time.monotonic)
     asked: float | None = None  # when the engine was last asked; None: no byte has gone out
     heard: float = 0.0  # when it last said anything
+    state: Any = None  # what its protocol keeps of it
 
     @property
     def wanted(self) -> bool:
--- /dev/null
+++ b/aspenrill/engines/base.py
@@ -0,0 +1,116 @@
+"""What attempts have in common whatever their engine speaks: one end each, the last look, the giving up."""
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from typing import Any
+
+from ..api import Outcome
+from ..core.books import Attempt, Ended, Peer
+from ..net.conn import Connection, Refused
+from ..net.hub import Closed, Hub, TimedOut
+from .pool import Pools
+
+SILENT = 1.0  # seconds for a request to be written
+
+
+class Cancelled(Exception):
+    """The attempt is no longer wanted."""
+
+
+class Over(Exception):
+    """The attempt has come to its end."""
+
+    def __init__(self, outcome: Outcome, **more: Any) -> None:
+        super().__init__(outcome)
+        self.outcome, self.more = outcome, more
+
+
+class Engines:
+    """Attempts, cancels and probes; ends and notes go to `post`. A protocol fills in `_carry` and `_stop`."""
+
+    def __init__(self, hub: Hub, pools: Pools, post: Callable[[Any], None]) -> None:
+        self.hub, self.pools, self.post = hub, pools, post
+
+    def start(self, attempt: Attempt) -> None:
+        """Carry it out in a task of its own; one Ended follows."""
+        attempt.task = self.hub.spawn(self._run, attempt, name=f"attempt {attempt.call.id}")
+
+    def cancel(self, attempt: Attempt) -> None:
+        """Give it up."""
+        if not attempt.cancelled:
+            attempt.cancelled = True
+            attempt.task.interrupt(Cancelled())
+
+    def rank(self, attempt: Attempt, priority: int) -> None:
+        """A new priority for what is out, where the protocol has one."""
+
+    def retire(self, peer: Peer) -> None:
+        """No new work goes there."""
+        self.pools.retire(peer)
+
+    def _carry(self, attempt: Attempt) -> None:
+        """From the first byte to the end, which is told by Over."""
+        raise NotImplementedError
+
+    def _stop(self, attempt: Attempt) -> None:
+        """Return once the engine works on it no more."""
+        raise NotImplementedError
+
+    def _run(self, attempt: Attempt) -> None:
+        end = Ended(attempt, Outcome.ERROR)
+        try:
+            self._carry(attempt)
+        except Over as over:
+            end = Ended(attempt, over.outcome, **over.more)
+            if over.outcome in (Outcome.RESET, Outcome.ERROR):
+                self._give_up(attempt)
+        except Cancelled:
+            self._give_up(attempt)
+            end = Ended(attempt, Outcome.CANCELLED)
+        except TimedOut:
+            end = Ended(attempt, Outcome.TIMEOUT)
+            if attempt.until >= attempt.call.deadline:  # no other can follow: the client hears of it first
+                self.post(end)
+                end = None
+            self._give_up(attempt)
+        finally:
+            if end is not None:
+                self.post(end)
+
+    def _give_up(self, attempt: Attempt) -> None:
+        attempt.cancelled, attempt.task.pending = True, None  # nothing interrupts this
+        if attempt.asked is not None:
+            self._stop(attempt)
+
+    def _begin(self, attempt: Attempt, request: Callable[[], bytes]) -> Connection | None:
+        """A connection on which the request has been written, None where it broke on the way.
+
+        Over where it is proven that nothing ran: no connection came up, or not a byte has gone out.
+        """
+        while True:
+            try:
+                conn = self.pools.take(attempt.peer, attempt.until)
+            except Refused as why:
+                raise Over(Outcome.MOOT if why.scarce else Outcome.CONNECT_FAILED) from None
+            if not attempt.wanted:  # the last look before the first byte
+                self.pools.give(attempt.peer, conn)
+                raise Over(Outcome.MOOT)
+            before = conn.written
+            try:
+                conn.write(request(), min(attempt.until, time.monotonic() + SILENT))
+            except (Closed, TimedOut):
+                self.pools.drop(conn)
+                if conn.written != before:
+                    attempt.asked = attempt.heard = time.monotonic()
+                    return None
+                if not conn.reused:
+                    raise Over(Outcome.CONNECT_FAILED) from None
+                continue
+            except BaseException:
+                if conn.written != before:
+                    attempt.asked = time.monotonic()
+                self.pools.drop(conn)
+                raise
+            attempt.asked = attempt.heard = time.monotonic()
+            return conn
--- a/aspenrill/engines/http.py
+++ b/aspenrill/engines/http.py
@@ -6,11 +6,12 @@
 from typing import Any
 
 from ..api import NoteKind, Outcome, Settings
-from ..core.books import Attempt, Ended, Noted, Peer, Probed, Result
+from ..core.books import Attempt, Noted, Peer, Probed, Result
 from ..net.conn import Connection, Refused, left
 from ..net.hub import Closed, Hub, TimedOut
 from ..settings import FIELDS
 from ..wire import Malformed, http1
+from .base import Engines, Over
 from .pool import Pools
 
 SILENT = 1.0  # seconds without a word on one call, after which the engine is asked anew on another connection
@@ -23,22 +24,10 @@
 NOTES = {"frac": NoteKind.PROGRESS, "missing": NoteKind.SPILLS, "parked": NoteKind.WAITS}
 
 
-class Cancelled(Exception):
-    """The attempt is no longer wanted."""
-
-
 class Lost(Exception):
     """A call broke or stayed silent on its connection; the engine may have had it."""
 
 
-class Over(Exception):
-    """The attempt has come to its end."""
-
-    def __init__(self, outcome: Outcome, **more: Any) -> None:
-        super().__init__(outcome)
-        self.outcome, self.more = outcome, more
-
-
 def meter(text: str | None, fields: tuple[str, ...]) -> tuple[float, ...] | None:
     """A load report in the order of the settings; None where there is none or it cannot be read."""
     told = {}
@@ -62,22 +51,13 @@
     return value if 0 <= value < 1e12 else None
 
 
-class HttpEngines:
-    """Attempts, cancels and probes; ends and notes go to `post`."""
+class HttpEngines(Engines):
+    """Attempts, cancels, priorities and probes at HTTP engines."""
 
     def __init__(self, hub: Hub, pools: Pools, settings: Settings, classes: list[str],
                  post: Callable[[Any], None]) -> None:
-        self.hub, self.pools, self.settings, self.classes, self.post = hub, pools, settings, classes, post
-
-    def start(self, attempt: Attempt) -> None:
-        """Carry it out in a task of its own; one Ended follows."""
-        attempt.task = self.hub.spawn(self._run, attempt, name=f"attempt {attempt.call.id}")
-
-    def cancel(self, attempt: Attempt) -> None:
-        """Give it up."""
-        if not attempt.cancelled:
-            attempt.cancelled = True
-            attempt.task.interrupt(Cancelled())
+        super().__init__(hub, pools, post)
+        self.settings, self.classes = settings, classes
 
     def rank(self, attempt: Attempt, priority: int) -> None:
         """A new priority for what is out."""
@@ -87,37 +67,10 @@
         """Ask for its load; one Probed follows."""
         self.hub.spawn(self._probe, peer, name="probe")
 
-    def retire(self, peer: Peer) -> None:
-        """No new work goes there."""
-        self.pools.retire(peer)
-
     # ---- an attempt -----------------------------------------------------------------------------------
 
-    def _run(self, attempt: Attempt) -> None:
-        end = Ended(attempt, Outcome.ERROR)
-        try:
-            self._carry(attempt)
-        except Over as over:
-            end = Ended(attempt, over.outcome, **over.more)
-            if over.outcome in (Outcome.RESET, Outcome.ERROR):
-                self._give_up(attempt)
-        except Cancelled:
-            self._give_up(attempt)
-            end = Ended(attempt, Outcome.CANCELLED)
-        except TimedOut:
-            end = Ended(attempt, Outcome.TIMEOUT)
-            if attempt.until < attempt.call.deadline:  # another attempt may follow: this one must be over
-                self._give_up(attempt)
-            else:
-                self.post(end)
-                end = None
-                self._give_up(attempt)
-        finally:
-            if end is not None:
-                self.post(end)
-
     def _carry(self, attempt: Attempt) -> None:
-        conn = self._begin(attempt)
+        conn = self._begin(attempt, lambda: self._post(attempt))
         while True:
             try:
                 if conn is None:
@@ -142,40 +95,14 @@
         raise Over(Outcome.OK, result=result, work=None if work is None else work / 1000, memory_mb=memory,
                    report=meter(head.headers.get("x-meter"), self.settings.report_fields))
 
-    def _begin(self, attempt: Attempt) -> Connection:
-        """A connection on which the statement has been written; Over where it did not come to that."""
+    def _post(self, attempt: Attempt) -> bytes:
         call = attempt.call
-        while True:
-            try:
-                conn = self.pools.take(attempt.peer, attempt.until)
-            except Refused as why:
-                raise Over(Outcome.MOOT if why.scarce else Outcome.CONNECT_FAILED) from None
-            if not attempt.wanted:  # the last look before the first byte
-                self.pools.give(attempt.peer, conn)
-                raise Over(Outcome.MOOT)
-            headers = {"X-Ticket": call.id, "X-Queue": self.classes[call.cls],
-                       "X-Max-Ms": str(max(1, int((attempt.until - time.monotonic()) * 1000))),
-                       "X-Weight-Class": str(attempt.priority)}
-            if call.key is not None:
-                headers["X-Nonce"] = call.key
-            before = conn.written
-            try:
-                conn.write(http1.request("POST", "/data", self._host(attempt.peer), headers, call.statement),
-                           min(attempt.until, time.monotonic() + SILENT))
-            except Closed:
-                self.pools.drop(conn)
-                if conn.written == before:  # not a byte has gone out: nothing ran
-                    if conn.reused:
-                        continue
-                    raise Over(Outcome.CONNECT_FAILED) from None
-                attempt.asked = attempt.heard = time.monotonic()
-                return None
-            except BaseException:
-                attempt.asked = time.monotonic() if conn.written != before else None
-                self.pools.drop(conn)
-                raise
-            attempt.asked = attempt.heard = time.monotonic()
-            return conn
+        headers = {"X-Ticket": call.id, "X-Queue": self.classes[call.cls],
+                   "X-Max-Ms": str(max(1, int((attempt.until - time.monotonic()) * 1000))),
+                   "X-Weight-Class": str(attempt.priority)}
+        if call.key is not None:
+            headers["X-Nonce"] = call.key
+        return http1.request("POST", "/data", self._host(attempt.peer), headers, call.statement)
 
     def _again(self, attempt: Attempt) -> Connection:
         """Another connection, to ask for what is out there; Over where the engine is dead or deaf."""
@@ -311,11 +238,8 @@
             raise Over(Outcome.ERROR)
         return body
 
-    def _give_up(self, attempt: Attempt) -> None:
-        """Return once the engine works on it no more: told so, dead, or unasked for long enough."""
-        attempt.cancelled, attempt.task.pending = True, None  # nothing interrupts this
-        if attempt.asked is None:
-            return
+    def _stop(self, attempt: Attempt) -> None:
+        """Told so, or dead, or unasked for long enough."""
         for fresh in (False, True):
             try:
                 self._one(attempt.peer, "DELETE", f"/data/{attempt.call.id}", time.monotonic() + DELETE_FOR,
--- a/aspenrill/engines/pool.py
+++ b/aspenrill/engines/pool.py
@@ -3,18 +3,22 @@
 
 import time
 from collections import deque
+from collections.abc import Callable
 
 from greenlet import getcurrent
 
 from ..core.books import Peer
 from ..net.conn import Connection, Refused, connect, left
-from ..net.hub import Hub, TimedOut
+from ..net.hub import Closed, Hub, TimedOut
+from ..wire import Malformed
 
 
 class Pools:
     """Takes and gives back connections; the idle ones lie with their engine's record."""
 
-    def __init__(self, hub: Hub, most: int, idle_for: float, connect_for: float) -> None:
+    def __init__(self, hub: Hub, most: int, idle_for: float, connect_for: float,
+                 greet: Callable[[Connection, float], None] | None = None) -> None:
+        self.greet = greet  # what a new connection needs before its first request
         self.hub, self.most, self.idle_for, self.connect_for = hub, most, idle_for, connect_for
         self.count = 0
         self.resting: dict[Connection, Peer] = {}  # idle ones, longest idle first
@@ -38,7 +42,15 @@
         except BaseException:
             self._left()
             raise
-        conn.reused = False
+        if self.greet is not None:
+            try:
+                self.greet(conn, until)
+            except (Closed, TimedOut, Malformed) as why:
+                self.drop(conn)
+                raise Refused(f"no session: {why}") from None
+            except BaseException:
+                self.drop(conn)
+                raise
         return conn
 
     def give(self, peer: Peer, conn: Connection) -> None:
@@ -46,6 +58,7 @@
         if not peer.takes_work or not conn.open or len(conn.incoming) or self.waiting:
             self.drop(conn)
             return
+        self.hub.unwatch(conn.fd)
         peer.idle.append(conn)
         self.resting[conn] = peer
         conn.rest = self.hub.timers.after(self.idle_for, self._tired, peer, conn)
--- /dev/null
+++ b/aspenrill/fronts/tds.py
@@ -0,0 +1,254 @@
+"""The TDS front: one request at a time on a connection, cancelled by Attention."""
+from __future__ import annotations
+
+import hashlib
+import os
+import re
+import time
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass
+from typing import Any
+
+from ..core.books import Asked, Call, Failed, Final, Left, Refused, Result, Served
+from ..net.conn import Connection
+from ..net.hub import Closed, Hub, Signal, TimedOut
+from ..wire import Malformed, tds
+from ..wire.sql import table_group
+
+LOGIN_FOR = 10.0  # seconds for a client to log in
+IDLE_FOR = 3600.0
+PACKET_FOR = 10.0  # seconds for the rest of a message once it has begun
+WRITE_FOR = 10.0  # seconds for a client to take one packet
+MOST_STATEMENT = 256 * 1024
+MOST_MESSAGE = 2 * MOST_STATEMENT + 1024
+REFUSED, FAILED, UNUSABLE, UNKNOWN_LOGIN, UNSUPPORTED = 50001, 50002, 50003, 18456, 50004
+KEY = re.compile(r"/\*\s*key:\s*([!-)+-~]{1,128})\s*\*/")
+
+
+@dataclass(frozen=True)
+class Mapping:
+    """What a login under an application name stands for. `*` matches any."""
+
+    user: str
+    app: str
+    cls: int
+    tenant: int
+    timeout: float
+    key: str = "none"  # where the idempotency key comes from: none, comment or batch
+
+    def matches(self, login: tds.Login) -> bool:
+        """Whether this is the login's entry; names are compared without case."""
+        return (self.user in ("*", login.user.lower())) and (self.app in ("*", login.app.lower()))
+
+    def idempotency(self, login: tds.Login, statement: str) -> str | None:
+        """The key of a statement; ValueError where it has none but needs one."""
+        if self.key == "comment":
+            found = KEY.search(statement)
+            if found is None:
+                raise ValueError("no comment of the form /* key: ... */ in the statement")
+            return found[1]
+        if self.key == "batch":
+            text = "\0".join((login.user.lower(), login.app.lower(), statement))
+            return hashlib.sha256(text.encode()).hexdigest()[:32]
+        return None
+
+
+class Service:
+    """What the connections of this front share."""
+
+    def __init__(self, hub: Hub, mappings: Iterable[Mapping], post: Callable[[Any], None], name: str) -> None:
+        self.hub, self.mappings, self.post, self.name = hub, tuple(mappings), post, name
+        self.writing = 0
+
+    def serve(self, conn: Connection) -> None:
+        """A connection's task, from PRELOGIN to its end."""
+        Session(self, conn).run()
+
+
+def answer_tokens(result: Result) -> Iterator[bytes]:
+    """COLMETADATA and rows; rows that came as text become columns of text."""
+    if result.form == "tds":
+        yield from result.tokens
+        return
+    rows = [line.split("\t") for line in result.body.decode("utf-8").split("\n")[:-1]]
+    width = max(map(len, rows), default=3)
+    yield tds.text_columns([f"c{at + 1}" for at in range(width)])
+    for row in rows:
+        yield tds.text_row([*row, *[None] * (width - len(row))])
+
+
+class Session:
+    """One client's connection: this task reads, another writes while an answer is on its way."""
+
+    def __init__(self, service: Service, conn: Connection) -> None:
+        self.service, self.conn = service, conn
+        self.login: tds.Login | None = None
+        self.mapping: Mapping | None = None
+        self.call: Call | None = None
+        self.busy = False  # an answer is being written
+        self.attention = False  # and is to be cut short
+        self.idle = Signal(service.hub)
+
+    def run(self) -> None:
+        """Read until the client closes; a request that is open then has lost its client."""
+        try:
+            self._open()
+            while True:
+                self._message()
+        except Malformed as why:
+            self._end_with(tds.error(UNUSABLE, str(why), 20))
+        finally:
+            self.conn.close()
+            if self.call is not None:
+                self.service.post(Left(self.call))
+                self.call = None
+
+    # ---- reading --------------------------------------------------------------------------------------
+
+    def _read(self, until: float) -> tuple[int, bytes]:
+        """A whole message. Its first packet may be long in coming, the rest may not."""
+        parts, size, last, kind = [], 0, False, None
+        while not last:
+            head = tds.packet_head(self.conn.read(tds.HEAD.size, until))
+            if kind not in (None, head[0]):
+                raise Malformed("a message of two types")
+            kind = head[0]
+            until = min(until, time.monotonic() + PACKET_FOR)
+            parts.append(self.conn.read(head[2], until))
+            size += head[2]
+            if size > MOST_MESSAGE:
+                raise Malformed(f"message of over {MOST_MESSAGE} bytes")
+            last = bool(head[1] & tds.END_OF_MESSAGE)
+            if last and head[1] & tds.IGNORE:
+                return 0, b""
+        return kind, b"".join(parts)
+
+    def _open(self) -> None:
+        until = time.monotonic() + LOGIN_FOR
+        kind, body = self._read(until)
+        if kind == tds.PRELOGIN:
+            tds.read_prelogin(body)
+            self.conn.write(tds.packets(tds.REPLY, tds.prelogin()), until)
+            kind, body = self._read(until)
+        if kind != tds.LOGIN7:
+            raise Malformed("no login")
+        login = tds.read_login7(body)
+        mapping = next((m for m in self.service.mappings if m.matches(login)), None)
+        if mapping is None:
+            text = f"login {login.user!r} with application {login.app!r} is not known here"
+            self._end_with(tds.error(UNKNOWN_LOGIN, text, 14))
+            raise Closed("login refused")
+        self.login, self.mapping = login, mapping
+        self.conn.write(tds.packets(tds.REPLY, tds.login_answer(login, self.service.name)), until)
+
+    def _message(self) -> None:
+        kind, body = self._read(time.monotonic() + IDLE_FOR)
+        arrived = time.monotonic()
+        if kind == tds.ATTENTION:
+            self._attend()
+        elif kind == 0:
+            pass
+        elif self.call is not None or self.busy:
+            raise Malformed("a request while another is open")
+        elif kind == tds.SQL_BATCH:
+            self._batch(tds.read_sql_batch(body), arrived)
+        else:
+            self._say([tds.error(UNSUPPORTED, f"messages of type {kind} are not taken here"),
+                       tds.done(tds.BAD)])
+
+    def _attend(self) -> None:
+        """Cancel: what is open loses its client, what is being written ends early; one acknowledgement."""
+        if self.call is not None:
+            self.service.post(Left(self.call))
+            self.call = None
+        if self.busy:
+            self.attention = True  # the writer ends its message with the acknowledgement
+            self.idle.wait(WRITE_FOR * 2)
+        else:
+            self._say([tds.done(tds.ACKNOWLEDGED)])
+
+    def _batch(self, statement: str, arrived: float) -> None:
+        mapping = self.mapping
+        try:
+            if not statement.strip():
+                raise ValueError("no statement")
+            if len(statement) > MOST_STATEMENT:
+                raise ValueError(f"a statement of over {MOST_STATEMENT} characters")
+            key = mapping.idempotency(self.login, statement)
+        except ValueError as why:
+            self._say([tds.error(UNUSABLE, str(why)), tds.done(tds.BAD)])
+            return
+        patience = max(0.0, mapping.timeout - self.service.hub.lag())
+        self.call = Call(os.urandom(8).hex(), mapping.cls, mapping.tenant, statement.encode("utf-8"), key,
+                         table_group(statement), arrived, patience, self._answer)
+        self.service.post(Asked(self.call))
+
+    # ---- writing --------------------------------------------------------------------------------------
+
+    def _answer(self, call: Call, final: Final) -> None:
+        if self.call is not call:
+            return  # cancelled, and acknowledged
+        self.call = None
+        match final:
+            case Served(result):
+                try:
+                    tokens = list(answer_tokens(result))
+                except (Malformed, UnicodeDecodeError):
+                    self._say([tds.error(FAILED, "the result does not fit"), tds.done(tds.BAD)])
+                    return
+                rows = result.rows if result.form == "tds" else len(tokens) - 1
+                self._say([*tokens, tds.done(rows=rows)])
+            case Refused(come_back):
+                later = f"; come back in {round(come_back * 1000)} ms" if come_back > 0 else ""
+                self._say([tds.error(REFUSED, f"refused, another try is harmless{later}"), tds.done(tds.BAD)])
+            case Failed(reason):
+                text = "failed, and may have run" + (f": {reason}" if reason else "")
+                self._say([tds.error(FAILED, text), tds.done(tds.BAD)])
+
+    def _say(self, tokens: list[bytes]) -> None:
+        """Hand a message to a writer. Requests come one at a time, so there is one writer at most."""
+        self.busy = True
+        self.service.writing += 1
+        self.service.hub.spawn(self._write, tokens, name="tds writer")
+
+    def _write(self, tokens: list[bytes]) -> None:
+        """Packet by packet as the client takes them; an Attention ends it behind a whole token."""
+        room, held, number = self.login.packet - tds.HEAD.size, bytearray(), 0
+
+        def send(data: bytes, last: bool) -> None:
+            nonlocal number
+            number += 1
+            head = tds.HEAD.pack(tds.REPLY, tds.END_OF_MESSAGE if last else 0, tds.HEAD.size + len(data), 0,
+                                 number & 0xFF, 0)
+            self.conn.write(head + data, time.monotonic() + WRITE_FOR)
+
+        try:
+            for token in tokens:
+                if self.attention:
+                    break
+                held += token
+                while len(held) > room:
+                    send(bytes(held[:room]), False)
+                    del held[:room]
+            if self.attention:
+                held += tds.done(tds.ACKNOWLEDGED)
+                while len(held) > room:
+                    send(bytes(held[:room]), False)
+                    del held[:room]
+            send(bytes(held), True)
+            late = self.attention and not bytes(held).endswith(tds.done(tds.ACKNOWLEDGED))
+            if late:  # it came while the last packet went out
+                send(tds.done(tds.ACKNOWLEDGED), True)
+        except (Closed, TimedOut):
+            self.conn.close()  # the client can tell that the answer is not whole
+        finally:
+            self.busy = self.attention = False
+            self.service.writing -= 1
+            self.idle.set()
+
+    def _end_with(self, token: bytes) -> None:
+        """A last word, if the client takes it at once."""
+        try:
+            self.conn.offer(tds.packets(tds.REPLY, token + tds.done(tds.BAD)))
+        except Closed:
+            pass
--- a/aspenrill/fronts/thrift.py
+++ b/aspenrill/fronts/thrift.py
@@ -142,6 +142,8 @@
             return
         del self.open[seqid]
         match final:
+            case Served(result) if result.form != "text":
+                self._say(thrift.thrown("serve", seqid, 2, {"reason": "the result is not text"}))
             case Served(result):
                 self._say(thrift.answer("serve", seqid, result.body, {}, True))
             case Refused(come_back):
--- a/aspenrill/net/conn.py
+++ b/aspenrill/net/conn.py
@@ -80,6 +80,11 @@
             missing -= len(parts[-1])
         return b"".join(parts)
 
+    def need(self, count: int, until: float | None) -> None:
+        """Wait until so many bytes lie in the ring; cut short, nothing of them is lost."""
+        while len(self.incoming) < count:
+            self.fill(until)
+
     def read_until(self, mark: bytes, until: float | None) -> bytes:
         """All up to and with the mark; Closed where the ring fills without it."""
         seen = 0
--- a/aspenrill/net/hub.py
+++ b/aspenrill/net/hub.py
@@ -244,3 +244,22 @@
             finally:
                 self._getter = None
         return self.items.popleft()
+
+
+class Signal:
+    """Wakes all that wait when it is set."""
+
+    def __init__(self, hub: Hub) -> None:
+        self.hub = hub
+        self._waiters: list[tuple[Task, int]] = []
+
+    def wait(self, timeout: float | None) -> None:
+        """Until the next `set`; TimedOut if it does not come in time."""
+        self._waiters.append((getcurrent(), self.hub.begin_wait()))
+        self.hub.park(timeout)
+
+    def set(self) -> None:
+        """Wake them."""
+        waiters, self._waiters = self._waiters, []
+        for task, wait in waiters:
+            self.hub.wake(task, wait)
--- a/aspenrill/node.py
+++ b/aspenrill/node.py
@@ -1,4 +1,4 @@
-"""One real front end, put together from its configuration."""
+"""One real front end, put together from its configuration: a platform node, or one application's sidecar."""
 from __future__ import annotations
 
 import gc
@@ -9,28 +9,35 @@
 import socket
 import sys
 import time
-from collections.abc import Mapping
+import tomllib
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
+from pathlib import Path
 from typing import Any
 
-from . import api
+from . import api, application
 from .core.books import Closing
 from .core.owner import Owner
+from .engines.base import Engines
 from .engines.http import HttpEngines
 from .engines.pool import Pools
-from .fronts.thrift import Service
+from .engines.tds import TdsEngines, logging_in
+from .fronts import tds, thrift
+from .net.conn import Connection
 from .net.hub import READ, Hub
 from .net.listener import Listener
 from .roster.bulletin import Bulletin
+from .roster.dnssd import DnsSd
 from .settings import settings_from
 from .wire import Malformed
-from .wire.bulletin import News, json_news
+from .wire.bulletin import Member, News, json_news
 
 CLIENT_SHARE, ENGINE_SHARE = 0.4, 0.5  # of the descriptors; the rest is for listeners, files and probes
 IDLE_MARGIN, LEAST_IDLE = 2.0, 1.0  # seconds by which a pooled connection is closed before the engine would
 STILL_TAKING = 1.0  # seconds after SIGTERM in which requests are taken, and a margin
 LONGEST_LEAVE, LEAVE_MARGIN = 3.0, 0.35  # SIGKILL comes 0.7 s after the longest deadline, or 3 s: before it
 FLUSH_FOR = 0.25
+TDS_FILE = Path(__file__).resolve().parent.parent / "deploy" / "tds.toml"
 
 
 class ConfigError(Exception):
@@ -123,44 +130,107 @@
 
 
 class Node:
-    """Owner, fronts, engines and roster of one front end."""
-
-    def __init__(self, config: Config, hub: Hub) -> None:
-        self.config, self.hub = config, hub
-        sockets = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
-        pools = Pools(hub, int(sockets * ENGINE_SHARE), max(LEAST_IDLE, config.idle_for - IDLE_MARGIN),
-                      config.connect_for)
-        engines = HttpEngines(hub, pools, config.settings, config.classes, lambda e: self.owner.queue.put(e))
-        self.owner = Owner(hub, config.settings, config.seed, engines)
-        for news in config.known:
-            self.owner.take(news)
-        self.roster = Bulletin(hub, config.bulletin, config.last, self.owner.queue.put)
-        keyed = [c.effect is api.Effect.KEYED for c in config.settings.classes]
-        self.front = Service(hub, config.classes, keyed, config.tenants, self.owner.queue.put,
-                             lambda: self.owner.well)
-        self.listener = Listener(hub, config.listen, self.front.serve, int(sockets * CLIENT_SHARE), "thrift")
+    """Owner, fronts and engines of one front end. `make` builds the side that speaks to engines."""
+
+    def __init__(self, hub: Hub, settings: api.Settings, seed: int, sockets: int, idle_for: float,
+                 connect_for: float, make: Callable[[Pools, Callable[[Any], None]], Engines],
+                 greet: Callable[[Connection, float], None] | None = None) -> None:
+        self.hub, self.settings = hub, settings
+        self.sockets = min(sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+        self.pools = Pools(hub, int(self.sockets * ENGINE_SHARE), max(LEAST_IDLE, idle_for - IDLE_MARGIN),
+                           connect_for, greet)
+        self.owner = Owner(hub, settings, seed, make(self.pools, self.post))
+        self.fronts: list[tuple[Any, Listener]] = []
         hub.spawn(self.owner.run, name="owner")
-        hub.spawn(self.roster.run, name="bulletin")
+
+    def post(self, event: Any) -> None:
+        """The only way to the owner."""
+        self.owner.queue.put(event)
+
+    def listen(self, address: tuple[str, int], service: Any, name: str,
+               share: float = CLIENT_SHARE) -> Listener:
+        """Open a front."""
+        listener = Listener(self.hub, address, service.serve, int(self.sockets * share), name)
+        self.fronts.append((service, listener))
+        return listener
 
     def leave(self) -> None:
         """After SIGTERM: take what still comes, answer everything, end."""
         began = time.monotonic()
         self.owner.well = False
         self.hub.log("leaving")
-        longest = max(c.patience for c in self.config.settings.classes)
+        longest = max(c.patience for c in self.settings.classes)
         latest = began + min(longest, LONGEST_LEAVE) + LEAVE_MARGIN
         while time.monotonic() < began + STILL_TAKING or self.owner.open and time.monotonic() < latest:
             self.hub.sleep(0.02)
-        self.listener.close()
-        self.owner.queue.put(Closing())
+        for _, listener in self.fronts:
+            listener.close()
+        self.post(Closing())
         until = time.monotonic() + FLUSH_FOR
         self.hub.sleep(0.02)
-        while (self.front.writing or self.owner.queue.items) and time.monotonic() < until:
+        while (any(s.writing for s, _ in self.fronts) or self.owner.queue.items) and time.monotonic() < until:
             self.hub.sleep(0.01)
         self.hub.log(f"left with {len(self.owner.open)} requests open")
         self.hub.stop()
 
 
+def platform(hub: Hub, env: Mapping[str, str], tds_file: Path = TDS_FILE) -> Node:
+    """A node of the platform: Thrift before it, HTTP engines behind it, TDS too where its file says so."""
+    config = read_config(env)
+    node = Node(hub, config.settings, config.seed, config.sockets, config.idle_for, config.connect_for,
+                lambda pools, post: HttpEngines(hub, pools, config.settings, config.classes, post))
+    for news in config.known:
+        node.owner.take(news)
+    keyed = [c.effect is api.Effect.KEYED for c in config.settings.classes]
+    node.listen(config.listen, thrift.Service(hub, config.classes, keyed, config.tenants, node.post,
+                                              lambda: node.owner.well), "thrift")
+    extra = _extra_front(tds_file, (config.classes, keyed, config.tenants))
+    if extra is not None:
+        node.listen(extra.listen, tds.Service(hub, extra.logins, node.post, extra.name), "tds", 0.05)
+    hub.spawn(Bulletin(hub, config.bulletin, config.last, node.post).run, name="bulletin")
+    return node
+
+
+def _extra_front(path: Path, names: tuple[list[str], list[bool], list[str]],
+                 ) -> application.Application | None:
+    """The TDS front of a platform node; None where its file has it off, or is not there."""
+    try:
+        text = path.read_text(encoding="utf-8")
+        if tomllib.loads(text).get("enabled") is not True:
+            return None
+    except FileNotFoundError:
+        return None
+    except (OSError, ValueError) as why:
+        raise ConfigError(f"{path.name}: {why}") from None
+    found, faults = application.read(text, names)
+    if found is None:
+        raise ConfigError(f"{path.name}: {faults[0]}")
+    return found
+
+
+def sidecar(hub: Hub, path: str) -> Node:
+    """One application's front: TDS before it, TDS engines behind it."""
+    try:
+        with open(path, encoding="utf-8") as file:
+            app, faults = application.read(file.read())
+    except (OSError, ValueError) as why:
+        raise ConfigError(f"{path}: {why}") from None
+    if app is None:
+        more = f" (and {len(faults) - 1} more; the tool's check names them)" if faults[1:] else ""
+        raise ConfigError(f"{path}: {faults[0]}{more}")
+    node = Node(hub, app.settings, int.from_bytes(os.urandom(8), "big"), app.sockets, app.idle_for,
+                app.connect_for, lambda pools, post: TdsEngines(hub, pools, post, app.answer_bytes),
+                logging_in(app.user, app.app))
+    if app.source == "list":
+        node.owner.take(News(0, True, tuple(Member(name, address, api.EngineState.LIVE, kind=kind)
+                                            for name, address, kind in app.engines)))
+    else:
+        hub.spawn(DnsSd(hub, app.resolver, app.service, app.kinds, node.post).run, name="dns-sd")
+    if app.enabled:
+        node.listen(app.listen, tds.Service(hub, app.logins, node.post, app.name), "tds")
+    return node
+
+
 def on_signal(hub: Hub, number: int, act: Any) -> None:
     """Run `act` in a task once the signal has come."""
     ours, theirs = socket.socketpair()
@@ -176,12 +246,14 @@
     hub.spawn(wait, name="signal")
 
 
-def main(env: Mapping[str, str] = os.environ) -> int:
+def main(words: Sequence[str] | None = None, env: Mapping[str, str] = os.environ) -> int:
     """Run one front end until SIGTERM; 2 where its configuration cannot be used."""
+    words = sys.argv[1:] if words is None else words
     hub = Hub(lambda text: print(text, file=sys.stderr, flush=True))
     try:
-        config = read_config(env)
-        node = Node(config, hub)
+        if len(words) > 1:
+            raise ConfigError("usage: python -m aspenrill [FILE], the file being an application's")
+        node = sidecar(hub, words[0]) if words else platform(hub, env)
     except ConfigError as why:
         print(f"aspenrill: {why}", file=sys.stderr)
         return 2
--- /dev/null
+++ b/tests/standins.py
@@ -0,0 +1,352 @@
+"""Stand-ins for clients and engines, Thrift and HTTP or TDS, in one process with the program under test."""
+from __future__ import annotations
+
+import struct
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from aspenrill import api
+from aspenrill.engines.http import HttpEngines
+from aspenrill.engines.tds import TdsEngines, logging_in, read_packet
+from aspenrill.fronts import tds as tds_front
+from aspenrill.fronts import thrift as thrift_front
+from aspenrill.net.conn import Connection, connect
+from aspenrill.net.hub import Closed, Hub, TimedOut
+from aspenrill.net.listener import Listener
+from aspenrill.node import Node
+from aspenrill.wire import tds, thrift
+from aspenrill.wire.bulletin import Member, News
+
+CLASSES = ["lookup", "booking", "once", "usage-report"]
+SPECS = (
+    api.QueryClass(aim=1.0, patience=5.0, effect=api.Effect.SAFE),
+    api.QueryClass(aim=1.0, patience=5.0, effect=api.Effect.KEYED, dedup_window=15.0, worth=8),
+    api.QueryClass(aim=1.0, patience=5.0, effect=api.Effect.UNSAFE, worth=8),
+    api.QueryClass(aim=3.0, patience=20.0, effect=api.Effect.SAFE, worth=8, threads=2))
+SETTINGS = api.Settings(classes=SPECS, cores_by_kind=(8,), most_attempts=4, may_cancel=True, may_probe=True,
+                        start_capacity=0.31, cold_for=12.0, fall_multiple=2.5, fall_window=1.5,
+                        report_fields=("util",))
+ROWS = [("1", "sheets", "ok"), ("2", "towels", "o'k")]
+
+
+@dataclass
+class Act:
+    """What an engine does with a statement: after so long it ends like this."""
+
+    after: float = 0.0
+    end: str = "ok"  # ok, error, full, reset
+    rows: list = field(default_factory=lambda: ROWS)
+
+
+@dataclass
+class Reply:
+    """What a client got."""
+
+    kind: str  # served, refused, failed, broken, cancelled
+    rows: list = field(default_factory=list)
+
+
+class Engine:
+    """An engine: notes what began and what was given up, and how much runs at once."""
+
+    def __init__(self, hub: Hub, name: str) -> None:
+        self.hub, self.name = hub, name
+        self.act: Callable[[str], Act] = lambda statement: Act()
+        self.began: list[tuple[float, str]] = []
+        self.stopped: list[str] = []
+        self.ended: list[str] = []
+        self.running = self.most = 0
+        self.others: list[Engine] = [self]
+        self.listener = Listener(hub, ("127.0.0.1", 0), self.serve, 500, name)
+
+    def enter(self, statement: str) -> None:
+        """A query begins here; how many run at all engines together is kept."""
+        self.began.append((time.monotonic(), statement))
+        self.running += 1
+        self.most = max(self.most, sum(engine.running for engine in self.others))
+
+    def leave(self, statement: str, how: list[str] | None) -> None:
+        """It is over."""
+        self.running -= 1
+        if how is not None:
+            how.append(statement)
+
+    @property
+    def statements(self) -> list[str]:
+        return [statement for _, statement in self.began]
+
+    def down(self) -> None:
+        """The process is gone: nothing listens, and its connections break."""
+        self.listener.close()
+        for conn in list(self.listener.connections):
+            conn.close()
+
+
+class HttpEngine(Engine):
+    """Speaks the platform's HTTP calls."""
+
+    def __init__(self, hub: Hub, name: str) -> None:
+        super().__init__(hub, name)
+        self.queries: dict[str, tuple[str, float, Act]] = {}
+
+    def serve(self, conn: Connection) -> None:
+        while True:
+            head = conn.read_until(b"\r\n\r\n", time.monotonic() + 60).decode()
+            method, path, _ = head.split("\r\n")[0].split(" ")
+            fields = dict(line.lower().split(": ", 1) for line in head.split("\r\n")[1:] if line)
+            body = conn.read(int(fields.get("content-length", 0)), time.monotonic() + 5)
+            if path == "/stats":
+                self.say(conn, 200, {"X-Meter": "util:0.1"})
+            elif method == "POST":
+                ident = fields["x-ticket"]
+                self.queries[ident] = (body.decode(), time.monotonic(), self.act(body.decode()))
+                self.enter(body.decode())
+                self.news(conn, ident)
+            elif method == "DELETE":
+                query = self.queries.pop(path.split("/")[2], None)
+                if query:
+                    self.leave(query[0], self.stopped)
+                self.say(conn, 204)
+            elif path.endswith("/0"):
+                self.news(conn, path.split("/")[2])
+            else:
+                _, _, ident, number = path.split("/")
+                pages = self.pages(self.queries[ident][2])
+                self.say(conn, 200, {"X-Batch": number}, pages[int(number)])
+
+    def news(self, conn: Connection, ident: str) -> None:
+        if ident not in self.queries:
+            return self.say(conn, 500)
+        statement, began, act = self.queries[ident]
+        left = began + act.after - time.monotonic()
+        self.hub.sleep(max(0.0, min(0.25, left)))
+        if ident not in self.queries:
+            return self.say(conn, 500)
+        if left > 0.25:
+            return self.say(conn, 202, {"X-Remark": "frac", "X-Num": str(1 - (left - 0.25) / act.after)})
+        if act.end != "ok":
+            del self.queries[ident]
+            self.leave(statement, None)
+        if act.end == "reset":
+            raise Closed
+        if act.end == "full":
+            return self.say(conn, 503, {"X-Shed": "1"})
+        if act.end == "error":
+            return self.say(conn, 500)
+        self.leave(statement, self.ended)
+        pages = self.pages(act)
+        self.say(conn, 200, {"X-Batches": str(len(pages)), "X-Spent": "5", "X-Wanted": "8"}, pages[0])
+
+    def pages(self, act: Act) -> list[bytes]:
+        pages = [b""]
+        for row in act.rows:
+            line = ("\t".join(row) + "\n").encode()
+            if len(pages[-1]) + len(line) > 6000:
+                pages.append(b"")
+            pages[-1] += line
+        return pages
+
+    def say(self, conn: Connection, status: int, fields: dict | None = None, body: bytes = b"") -> None:
+        lines = "".join(f"{k}: {v}\r\n" for k, v in (fields or {}).items())
+        length = "" if status == 204 else f"Content-Length: {len(body)}\r\n"
+        conn.write(f"HTTP/1.1 {status} X\r\n{lines}{length}\r\n".encode() + body, time.monotonic() + 5)
+
+
+class TdsEngine(Engine):
+    """Speaks TDS; rows of one answer go out in pieces over the time that it takes."""
+
+    def serve(self, conn: Connection) -> None:
+        while True:
+            kind, body, last = 0, b"", False
+            while not last:
+                kind, last, data = read_packet(conn, time.monotonic() + 60)
+                body += data
+            if kind == tds.PRELOGIN:
+                self.say(conn, tds.prelogin())
+            elif kind == tds.LOGIN7:
+                self.say(conn, tds.login_answer(tds.read_login7(body), self.name))
+            elif kind == tds.ATTENTION:
+                self.say(conn, tds.done(tds.ACKNOWLEDGED))
+            else:
+                self.batch(conn, tds.read_sql_batch(body))
+
+    def batch(self, conn: Connection, statement: str) -> None:
+        act = self.act(statement)
+        self.enter(statement)
+        until, number = time.monotonic() + act.after, 0
+        out = tds.text_columns(["a", "b", "c"])
+        if act.end == "ok":
+            out += b"".join(tds.text_row(list(row)) for row in act.rows)
+        while time.monotonic() < until:
+            if act.after > 1 and act.end == "ok" and out:  # a long answer streams back
+                number += 1
+                piece, out = out[:700], out[700:]
+                conn.write(tds.HEAD.pack(tds.REPLY, 0, 8 + len(piece), 0, number & 255, 0) + piece,
+                           time.monotonic() + 5)
+            try:
+                conn.fill(time.monotonic() + 0.02)
+            except TimedOut:
+                continue
+            except Closed:
+                self.leave(statement, self.stopped)
+                raise
+            if read_packet(conn, time.monotonic() + 5)[0] == tds.ATTENTION:
+                self.leave(statement, self.stopped)
+                return self.say(conn, tds.done(tds.ACKNOWLEDGED))
+        self.leave(statement, self.ended if act.end == "ok" else None)
+        if act.end == "reset":
+            raise Closed
+        if act.end != "ok":
+            number = 10928 if act.end == "full" else 8134
+            return self.say(conn, tds.error(number, "no") + tds.done(tds.BAD))
+        self.say(conn, out + tds.done(rows=len(act.rows)))
+
+    def say(self, conn: Connection, body: bytes) -> None:
+        conn.write(tds.packets(tds.REPLY, body), time.monotonic() + 5)
+
+
+class ThriftClient:
+    """A client of one class on one connection."""
+
+    def __init__(self, world: World, cls: str, timeout: float) -> None:
+        self.cls, self.timeout, self.seqid = cls, timeout, 0
+        self.conn = connect(world.hub, world.address, time.monotonic() + 2)
+        self.held: dict[int, Reply] = {}
+
+    def send(self, statement: str, **changed: str | None) -> None:
+        self.seqid += 1
+        fields = {"kind": self.cls, "req": f"{id(self) & 0xFFFFFF:08x}{self.seqid:08x}", "owner": "main",
+                  "timeout": str(int(self.timeout * 1000)), "opkey": "ab" * 16} | changed
+        fields = {k: v for k, v in fields.items() if v is not None}
+        body = (thrift.field(thrift.MAP, 1, thrift.text_map(fields))
+                + thrift.field(thrift.STRING, 2, thrift.blob(statement.encode())))
+        self.conn.write(thrift.frame(thrift.CALL, "serve", self.seqid, body), time.monotonic() + 5)
+
+    def read(self, within: float) -> Reply:
+        until = time.monotonic() + within
+        frame = self.conn.read(int.from_bytes(self.conn.read(4, until), "big"), until)
+        message = thrift.read_message(frame)
+        if message.kind == thrift.EXCEPTION:
+            return Reply("broken")
+        if 0 in message.args:
+            text = message.args[0][1].decode()
+            return Reply("served", [tuple(line.split("\t")) for line in text.split("\n")[:-1]])
+        return Reply("refused" if 1 in message.args else "failed")
+
+    def ask(self, statement: str, within: float = 10.0, **changed: str | None) -> Reply:
+        self.send(statement, **changed)
+        return self.read(within)
+
+    def cancel(self) -> None:
+        self.conn.write(thrift.frame(thrift.ONEWAY, "forget", 0, thrift.field(
+            thrift.I32, 1, struct.pack(">i", self.seqid))), time.monotonic() + 5)
+
+    def close(self) -> None:
+        self.conn.close()
+
+
+class TdsClient:
+    """A client whose login stands for a class."""
+
+    def __init__(self, world: World, cls: str, timeout: float) -> None:
+        self.user = cls if timeout >= 5 else f"{cls}-{timeout:g}"
+        self.conn = connect(world.hub, world.address, time.monotonic() + 2)
+        until = time.monotonic() + 5
+        self.conn.write(tds.packets(tds.PRELOGIN, tds.prelogin()), until)
+        read_packet(self.conn, until)
+        login = tds.Login(self.user, "test", packet=tds.LEAST_PACKET)
+        self.conn.write(tds.packets(tds.LOGIN7, tds.login7(login)), until)
+        read_packet(self.conn, until)
+
+    def send(self, statement: str) -> None:
+        self.conn.write(tds.packets(tds.SQL_BATCH, tds.sql_batch(statement), 512), time.monotonic() + 5)
+
+    def read(self, within: float) -> Reply:
+        until, reader, last = time.monotonic() + within, tds.TokenReader(1 << 20), False
+        while not last:
+            _, last, data = read_packet(self.conn, until)
+            reader.take(data)
+        answer = reader.answer
+        if answer.status & tds.ACKNOWLEDGED:
+            return Reply("cancelled")
+        if answer.error:
+            return Reply({50001: "refused", 50002: "failed"}.get(answer.error[0], "broken"))
+        return Reply("served", [tuple(row) for row in tds.rows_as_text(b"".join(answer.tokens))])
+
+    def ask(self, statement: str, within: float = 10.0) -> Reply:
+        self.send(statement)
+        return self.read(within)
+
+    def cancel(self) -> None:
+        self.conn.write(tds.packets(tds.ATTENTION, b""), time.monotonic() + 5)
+
+    def close(self) -> None:
+        self.conn.close()
+
+
+class World:
+    """The program and its stand-ins in one hub; `run` plays a test as a task of it."""
+
+    def __init__(self, protocol: str, engines: int = 2, settings: api.Settings = SETTINGS) -> None:
+        self.protocol, self.logged = protocol, []
+        self.hub = Hub(self.logged.append)
+        self.engines = [(HttpEngine if protocol == "thrift" else TdsEngine)(self.hub, f"s-{i:08x}")
+                        for i in range(engines)]
+        for engine in self.engines:
+            engine.others = self.engines
+        if protocol == "thrift":
+            self.node = Node(self.hub, settings, 1, 1024, 30, 0.25,
+                             lambda pools, post: HttpEngines(self.hub, pools, settings, CLASSES, post))
+            service = thrift_front.Service(self.hub, CLASSES, [c.effect is api.Effect.KEYED for c in SPECS],
+                                           ["main"], self.node.post, lambda: self.node.owner.well)
+        else:
+            self.node = Node(self.hub, settings, 1, 1024, 30, 0.25,
+                             lambda pools, post: TdsEngines(self.hub, pools, post, 1 << 20),
+                             logging_in("aspenrill", "aspenrill"))
+            maps = [tds_front.Mapping(cls if t == 5 else f"{cls}-{t:g}", "*", i, 0,
+                                      t if t != 5 else spec.patience, "batch")
+                    for i, (cls, spec) in enumerate(zip(CLASSES, SPECS, strict=True)) for t in (5, 0.5, 1)]
+            service = tds_front.Service(self.hub, maps, self.node.post, "test")
+        self.address = self.node.listen(("127.0.0.1", 0), service, protocol).address
+        self.number = 0
+        self.tell([self.member(e) for e in self.engines], whole=True)
+
+    def member(self, engine: Engine, state: api.EngineState = api.EngineState.LIVE,
+               started: float = 0.0) -> Member:
+        return Member(engine.name, engine.listener.address, state, started=started)
+
+    def tell(self, members: list[Member], whole: bool = False) -> None:
+        self.number += 1
+        self.node.post(News(self.number, whole, tuple(members)))
+
+    def client(self, cls: str = "lookup", timeout: float = 5.0) -> ThriftClient | TdsClient:
+        return (ThriftClient if self.protocol == "thrift" else TdsClient)(self, cls, timeout)
+
+    def until(self, true: Callable[[], object], within: float = 10.0) -> None:
+        """Wait for something to come true."""
+        end = time.monotonic() + within
+        while not true():
+            assert time.monotonic() < end, "did not come true in time"
+            self.hub.sleep(0.01)
+
+    def run(self, play: Callable[[], None]) -> None:
+        """Play it to its end; its failure is the test's."""
+        failure: list[BaseException] = []
+
+        def scene() -> None:
+            try:
+                play()
+            except BaseException as why:
+                failure.append(why)
+            self.hub.stop()
+
+        self.hub.spawn(scene)
+        self.hub.run()
+        for listener in [self.node.fronts[0][1], *(e.listener for e in self.engines)]:
+            listener.close()
+            for conn in list(listener.connections):
+                conn.close()
+        if failure:
+            raise failure[0]
+        assert not [text for text in self.logged if text.startswith("error")], self.logged
--- /dev/null
+++ b/tests/test_both.py
@@ -0,0 +1,262 @@
+"""The rules on sockets, each played once per protocol against stand-in engines."""
+from __future__ import annotations
+
+import time
+from dataclasses import replace
+
+import pytest
+from standins import ROWS, SETTINGS, Act, Reply, World
+
+from aspenrill import api
+
+PROTOCOLS = pytest.mark.parametrize("protocol", ["thrift", "tds"])
+WIDE = [(str(i), "x" * 40, "end") for i in range(700)]  # several pages or packets, under 48,000 bytes
+
+
+@PROTOCOLS
+@pytest.mark.parametrize("rows", [ROWS, [], WIDE], ids=["few", "none", "many"])
+def test_an_answer_comes_whole_and_unchanged(protocol, rows):
+    # guards against lost pages, split rows and rows in another order
+    world = World(protocol)
+
+    def play():
+        for engine in world.engines:
+            engine.act = lambda s: Act(rows=rows)
+        client = world.client()
+        for _ in range(3):
+            assert client.ask("select * from sales_1.x") == Reply("served", rows)
+    world.run(play)
+
+
+@PROTOCOLS
+def test_one_answer_in_time_where_the_engine_has_none(protocol):
+    # a request whose engine hangs must still be answered before its client gives up, and once
+    world = World(protocol, 1)
+
+    def play():
+        world.engines[0].act = lambda s: Act(after=30)
+        client, began = world.client(timeout=0.5), time.monotonic()
+        assert client.ask("select slow").kind in ("refused", "failed")
+        assert time.monotonic() - began < 0.57
+        world.until(lambda: world.engines[0].stopped == ["select slow"])
+        world.engines[0].act = lambda s: Act()
+        assert client.ask("select again").kind == "served"  # and nothing came in between
+    world.run(play)
+
+
+@PROTOCOLS
+def test_a_cancel_reaches_the_engine_and_no_answer_comes(protocol):
+    # a forgotten request must not hold its engine, nor be answered later
+    world = World(protocol, 1)
+
+    def play():
+        world.engines[0].act = lambda s: Act(after=3 if "slow" in s else 0)
+        client = world.client()
+        client.send("select slow")
+        world.until(lambda: world.engines[0].began)
+        client.cancel()
+        if protocol == "tds":
+            assert client.read(5).kind == "cancelled"
+        world.until(lambda: world.engines[0].stopped == ["select slow"])
+        assert client.ask("select quick").rows == ROWS
+    world.run(play)
+
+
+@PROTOCOLS
+def test_a_client_that_closes_is_gone(protocol):
+    # nobody waits for it: its work must not go on
+    world = World(protocol, 1)
+
+    def play():
+        world.engines[0].act = lambda s: Act(after=5)
+        client = world.client()
+        client.send("select slow")
+        world.until(lambda: world.engines[0].began)
+        client.close()
+        world.until(lambda: world.engines[0].stopped == ["select slow"] and not world.node.owner.open)
+    world.run(play)
+
+
+@PROTOCOLS
+@pytest.mark.parametrize("cls, end, kind, starts", [
+    ("lookup", "reset", "served", 2), ("booking", "reset", "served", 2), ("once", "reset", "failed", 1),
+    ("lookup", "error", "served", 2), ("once", "error", "failed", 1),
+    ("lookup", "full", "served", 2), ("once", "full", "served", 2)])
+def test_what_may_have_run_goes_out_again_only_where_its_class_allows(protocol, cls, end, kind, starts):
+    # only a refusal as full proves that nothing ran: a class that must not run twice is failed otherwise
+    world = World(protocol)
+
+    def play():
+        world.client(cls).ask("select 1")  # its usual latency is known from here on
+        for engine in world.engines:
+            engine.began.clear()
+            engine.act = lambda s: Act(end="ok" if sum(len(e.began) for e in world.engines) else end)
+        assert world.client(cls).ask("insert into sales_2.x").kind == kind
+        assert sum(len(e.began) for e in world.engines) == starts
+    world.run(play)
+
+
+@PROTOCOLS
+@pytest.mark.parametrize("cls", ["lookup", "booking", "once"])
+def test_where_all_are_full_the_refusal_says_that_nothing_ran(protocol, cls):
+    # and it comes at once, not at the deadline
+    world = World(protocol)
+
+    def play():
+        for engine in world.engines:
+            engine.act = lambda s: Act(end="full")
+        began = time.monotonic()
+        assert world.client(cls).ask("select 1").kind == "refused"
+        assert time.monotonic() - began < 4
+    world.run(play)
+
+
+@PROTOCOLS
+@pytest.mark.parametrize("cls", ["lookup", "once"])
+def test_an_engine_that_is_not_there_costs_nothing(protocol, cls):
+    # a refused connection proves that nothing ran, also for what must not run twice
+    world = World(protocol)
+
+    def play():
+        world.engines[0].down()
+        for _ in range(4):
+            assert world.client(cls).ask("select 1").kind == "served"
+        assert not world.engines[0].began
+    world.run(play)
+
+
+@PROTOCOLS
+def test_one_attempt_is_out_at_a_time(protocol):
+    # the second try must wait until the first engine has given the query up
+    world = World(protocol)
+
+    def play():
+        world.client().ask("select 1")
+        for engine in world.engines:
+            engine.began.clear()
+            engine.act = lambda s: Act(after=0.3, end="reset")
+        world.client().ask("select 1")
+        assert sum(len(e.began) for e in world.engines) > 1 and max(e.most for e in world.engines) == 1
+    world.run(play)
+
+
+@PROTOCOLS
+def test_a_draining_engine_ends_what_it_has_and_gets_nothing_new(protocol):
+    # a long usage-report streams back whole from it, while nothing new is sent there
+    world = World(protocol, 2)
+
+    def play():
+        a, b = world.engines
+        for engine in world.engines:
+            engine.act = lambda s: Act(after=1.6 if "long" in s else 0, rows=WIDE if "long" in s else ROWS)
+        world.tell([world.member(b, api.EngineState.DRAINING)])
+        world.hub.sleep(0.05)
+        report = world.client("usage-report")
+        report.send("select long from sales_1.x")
+        world.until(lambda: a.began)
+        world.tell([world.member(a, api.EngineState.DRAINING), world.member(b)])
+        told = time.monotonic()
+        client = world.client()
+        while time.monotonic() < told + 1.0:
+            assert client.ask("select 1").kind == "served"
+        late = [at for at, s in a.began if at > told + 0.5]
+        assert not late and len(b.began) > 3
+        assert report.read(10).rows == WIDE and a.ended.count("select long from sales_1.x") == 1
+    world.run(play)
+
+
+@PROTOCOLS
+def test_an_engine_that_is_gone_is_left_out_and_a_new_one_may_have_its_address(protocol):
+    # connections belong to the engine, not to its address: none of the old one's may serve the new one
+    world = World(protocol, 1)
+
+    def play():
+        a, client = world.engines[0], world.client()
+        assert client.ask("select 1").kind == "served"
+        peer = world.node.owner.peers[a.name]
+        assert peer.idle
+        old = peer.idle[0]
+        new = replace(world.member(a), engine="s-000000ff")
+        world.tell([world.member(a, api.EngineState.GONE), new])
+        assert client.ask("select 2").kind == "served"
+        assert not old.open and [p.engine for p in world.node.owner.peers.values()] == ["s-000000ff"]
+    world.run(play)
+
+
+@PROTOCOLS
+def test_a_cold_engine_is_not_pushed_over(protocol):
+    # it can do a third of its capacity: what is sent there in any window must stay under the budget
+    world = World(protocol, 2, replace(SETTINGS, cores_by_kind=(1,)))
+
+    def play():
+        warm, cold = world.engines
+        for engine in world.engines:
+            engine.act = lambda s: Act(after=0.05)
+        world.tell([world.member(cold, started=time.time())])
+        world.hub.sleep(0.05)
+        clients = [world.client() for _ in range(12)]
+        until = time.monotonic() + 1.5
+        while time.monotonic() < until:
+            for client in clients:
+                client.send("select 1")
+            for client in clients:
+                client.read(10)
+        work = sum(0.05 for _ in cold.began)
+        assert work <= 0.31 * 2.5 * 1.5, "more than the budget of its window"
+        assert len(warm.began) > 3 * len(cold.began)
+    world.run(play)
+
+
+@PROTOCOLS
+def test_a_connection_that_broke_while_idle_is_not_used(protocol):
+    # an idle connection that its engine has closed must not cost a request anything
+    world = World(protocol, 1)
+
+    def play():
+        client = world.client("once")
+        for i in range(3):
+            assert client.ask(f"insert {i}").kind == "served"
+            for conn in list(world.engines[0].listener.connections):
+                conn.close()
+            world.hub.sleep(0.02)
+        assert len(world.engines[0].began) == 3
+    world.run(play)
+
+
+@PROTOCOLS
+def test_leaving_takes_and_answers_until_the_end(protocol):
+    # after SIGTERM requests still come for a while; all get their answers, the slow ones a final word
+    world = World(protocol, 1)
+
+    def play():
+        world.engines[0].act = lambda s: Act(after=9 if "slow" in s else 0)
+        slow, quick = world.client("usage-report"), world.client()
+        slow.send("select slow")
+        world.until(lambda: world.engines[0].began)
+        began = time.monotonic()
+        stopped = []
+        stop, world.hub.stop = world.hub.stop, lambda: stopped.append(time.monotonic())
+        world.hub.spawn(world.node.leave)
+        world.hub.sleep(0.6)
+        assert not world.node.owner.well
+        assert quick.ask("select 1").kind == "served"
+        assert slow.read(6).kind in ("refused", "failed")
+        world.until(lambda: stopped)
+        world.hub.stop = stop
+        assert stopped[0] - began < 3.7
+    world.run(play)
+
+
+@PROTOCOLS
+def test_answers_wait_for_a_client_that_reads_slowly(protocol):
+    # back-pressure: what does not fit stays in the ring, bounded, and comes whole in the end
+    world = World(protocol, 1)
+
+    def play():
+        world.engines[0].act = lambda s: Act(rows=WIDE)
+        client = world.client()
+        for _ in range(3):
+            client.send("select 1")
+            world.hub.sleep(0.3)
+            assert client.read(5).rows == WIDE
+    world.run(play)
--- /dev/null
+++ b/tests/test_tool.py
@@ -0,0 +1,157 @@
+"""The tool as a new user would run it, and the program's own reading of configurations."""
+from __future__ import annotations
+
+import json
+import signal
+import socket
+import struct
+import subprocess
+import sys
+import time
+
+import pytest
+
+from aspenrill import application
+from aspenrill.tool.__main__ import main
+from aspenrill.tool.template import TEMPLATE
+from aspenrill.wire import tds, thrift
+
+GOOD = TEMPLATE.replace("@NAME@", "billing").replace("@LISTEN@", "127.0.0.1:0")
+
+
+def test_write_then_check_then_records(tmp_path, capsys):
+    path = str(tmp_path / "billing.toml")
+    assert main(["write", path]) == 0 and main(["check", path]) == 0
+    assert "billing listens on 127.0.0.1:1433" in capsys.readouterr().out
+    assert main(["write", path]) == 1 and "--force" in capsys.readouterr().err
+    assert main(["records", path]) == 0
+    assert capsys.readouterr().out.splitlines() == [
+        "_tds._tcp.local. 120 IN PTR billing._tds._tcp.local.",
+        "billing._tds._tcp.local. 120 IN SRV 0 0 1433 billing.local.",
+        'billing._tds._tcp.local. 120 IN TXT "txtvers=1" "app=billing"',
+        "billing.local. 120 IN A 127.0.0.1"]
+
+
+@pytest.mark.parametrize("old, new, faults", [
+    ('listen = "127.0.0.1:0"', 'listen = "here"', ["listen"]), ('name = "billing"', "", ["name"]),
+    ("wanted_ms = 1000", "wanted_ms = 9000", ["class[0].wanted_ms"]),
+    ("wanted_ms = 1000 ", 'wanted_ms = "1 s" ', ["class[0].wanted_ms"]),
+    ('effect = "by_key"', 'effect = "maybe"', ["class[2].effect"]),
+    ("repeat_window_ms = 15000", "", ["class[2].repeat_window_ms"]),
+    ('key = "comment"', "", ["login[1].key"]), ('class = "report"', 'class = "reprot"', ["login[0].class"]),
+    ('tenant = "main"', 'tenant = "mian"', ["login[0].tenant"]),
+    ("cores = 8", "cores = 0", ["engines.kind[0].cores"]),
+    ('source = "list"', 'source = "dns-sd"', ["engines.resolver", "engines.service"]),
+    ('source = "list"', 'source = "platform"', ["engines.source"]),
+    ("sockets = 1024", "sockets = 8\nspeed = 2", ["limits.sockets", "limits.speed"]),
+    ('name = "billing"', "name = ", ["file"]), ("worth = 8.0", "worth = true", ["class[1].worth"]),
+    ('address = "127.0.0.1:14331"', 'address = "localhost:1"', ["engines.engine[0].address"])])
+def test_check_names_every_fault_by_its_field(tmp_path, capsys, old, new, faults):
+    assert old in GOOD
+    path = tmp_path / "a.toml"
+    path.write_text(GOOD.replace(old, new, 1))
+    assert main(["check", str(path)]) == 1
+    lines = capsys.readouterr().err.splitlines()
+    assert [line.split(": ")[1] for line in lines] == faults
+
+
+def test_dns_sd_source_is_taken():
+    text = GOOD.replace('source = "list"', 'source = "dns-sd"').replace("# resolver", "resolver").replace(
+        "# service", "service")
+    app, faults = application.read(text)
+    assert not faults and app.resolver == ("127.0.0.1", 53) and app.service == "_tds._tcp.engines.local"
+
+
+INFO = {"classes": [{"name": "lookup", "effect": "repeatable", "on_time_ns": 10**9, "give_up_ns": 5 * 10**9,
+                     "new": 1}], "kinds": ["k"], "areas": ["z"], "unknown": {"x": 1}, "tenants": []}
+CONFIG = {"name": "n1", "listen": "127.0.0.1:0", "seed": "1f", "limits": {"sockets": 256},
+          "bulletin": "127.0.0.1:9", "known": {"no": 0, "items": []}, "settings": INFO, "more": 1}
+
+
+def start(tmp_path, config, *words):
+    path = tmp_path / "config.json"
+    path.write_text(config if isinstance(config, str) else json.dumps(config))
+    return subprocess.Popen([sys.executable, "-m", "aspenrill", *words], stderr=subprocess.PIPE, text=True,
+                            env={"NODE_CONFIG": str(path), "PATH": ""})
+
+
+@pytest.mark.parametrize("change, named", [
+    ({"listen": "nowhere"}, "listen"), ({"bulletin": 5}, "bulletin"), ({"settings": None}, "settings"),
+    ({"settings": {**INFO, "classes": [{"name": "a"}]}}, "effect"), ({"known": {"no": 0}}, "known.items"),
+    ({"known": {"no": 1, "items": [{}]}}, "known.items[0]"), ({"seed": "xyz"}, "seed"),
+    ({"limits": {"sockets": 1}}, "limits.sockets"), ("{", "NODE_CONFIG")])
+def test_a_configuration_that_cannot_be_used_is_named_in_one_line(tmp_path, change, named):
+    child = start(tmp_path, change if isinstance(change, str) else CONFIG | change)
+    err = child.communicate(timeout=20)[1]
+    assert child.returncode == 2 and err.count("\n") == 1 and named in err
+
+
+def port_of(pid: int) -> int:
+    """The port on which a process listens, from the system's table of sockets."""
+    import os
+    until = time.monotonic() + 20
+    while time.monotonic() < until:
+        try:
+            fds = [os.readlink(f"/proc/{pid}/fd/{fd}") for fd in os.listdir(f"/proc/{pid}/fd")]
+        except OSError:
+            fds = []
+        for line in open("/proc/net/tcp").read().splitlines()[1:]:
+            part = line.split()
+            if part[3] == "0A" and f"socket:[{part[9]}]" in fds:
+                return int(part[1].split(":")[1], 16)
+        time.sleep(0.05)
+    raise AssertionError("nothing listens")
+
+
+def receive(sock: socket.socket, count: int) -> bytes:
+    data = b""
+    while len(data) < count:
+        piece = sock.recv(count - len(data))
+        assert piece, "closed"
+        data += piece
+    return data
+
+
+def test_the_program_serves_thrift_and_leaves_on_sigterm(tmp_path):
+    # no engine is listed: a request is answered all the same, also after SIGTERM; the exit is clean
+    child = start(tmp_path, CONFIG)
+    port = port_of(child.pid)
+
+    def ask(sock, seqid: int, name: str, body: bytes):
+        sock.sendall(thrift.frame(thrift.CALL, name, seqid, body))
+        return thrift.read_message(receive(sock, int.from_bytes(receive(sock, 4), "big")))
+
+    body = thrift.field(thrift.MAP, 1, thrift.text_map(
+        {"kind": "lookup", "req": "0" * 16, "timeout": "900", "owner": "x"})) + thrift.field(
+        thrift.STRING, 2, thrift.blob(b"select 1"))
+    with socket.create_connection(("127.0.0.1", port), 10) as sock:
+        sock.settimeout(10)
+        assert ask(sock, 1, "isWell", b"").args[0][3] is True
+        assert 1 in ask(sock, 2, "serve", body).args
+        child.send_signal(signal.SIGTERM)
+        time.sleep(0.3)
+        assert ask(sock, 3, "isWell", b"").args[0][3] is False
+        assert 1 in ask(sock, 4, "serve", body).args
+    assert child.wait(10) == 0 and "Traceback" not in child.stderr.read()
+
+
+def test_the_program_serves_an_application_over_tds(tmp_path):
+    path = tmp_path / "billing.toml"
+    path.write_text(GOOD)
+    child = start(tmp_path, CONFIG, str(path))
+    port = port_of(child.pid)
+    with socket.create_connection(("127.0.0.1", port), 10) as sock:
+        sock.settimeout(10)
+
+        def ask(kind: int, body: bytes) -> bytes:
+            sock.sendall(tds.packets(kind, body))
+            return receive(sock, tds.packet_head(receive(sock, 8))[2])
+
+        tds.read_prelogin(ask(tds.PRELOGIN, tds.prelogin()))
+        assert ask(tds.LOGIN7, tds.login7(tds.Login("clerk", "settle")))[0] == tds.LOGINACK
+        reader = tds.TokenReader(4096)
+        reader.take(ask(tds.SQL_BATCH, tds.sql_batch("select 1")))  # no engine is there
+        assert reader.answer.error[0] in (50001, 50002)
+        sock.sendall(struct.pack(">BBHHBB", 1, 1, 2, 0, 0, 0))
+    child.send_signal(signal.SIGTERM)
+    assert child.wait(10) == 0 and "Traceback" not in child.stderr.read()
