A stalled engine is not stormed: few connections come up at a time, none is closed within an answer

Ruled out: its descriptors (1,914 of 20,000), ours, a dead task (nodes kept probing). Lines: pool.take dialled without bound; http._hear dropped a connection with its answer outstanding on every cancel and after 1 s of silence.

--- a/aspenrill/core/books.py
+++ b/aspenrill/core/books.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import time
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -78,6 +79,9 @@
     started: float = 0.0
     idle: list[Any] = field(default_factory=list)
     retired: bool = False  # replaced by another process or address
+    dialing: int = 0  # connections that are coming up
+    failed_at: float = -1e9  # when one last did not come up in time
+    waiting: deque = field(default_factory=deque)  # tasks that wait for a connection of its
 
     @property
     def takes_work(self) -> bool:
--- a/aspenrill/core/owner.py
+++ b/aspenrill/core/owner.py
@@ -16,7 +16,7 @@
 from . import books
 from .books import Attempt, Call, Failed, Final, Peer, Refused, Served
 
-OVERTIME = 0.01  # seconds past its deadline at which a request without an answer is failed here
+OVERTIME = 0.03  # seconds past its deadline at which a request without an answer is failed here
 
 
 class Engines(Protocol):
--- a/aspenrill/engines/http.py
+++ b/aspenrill/engines/http.py
@@ -14,7 +14,7 @@
 from .base import Engines, Over
 from .pool import Pools
 
-SILENT = 1.0  # seconds without a word on one call, after which the engine is asked anew on another connection
+SILENT = 1.5  # seconds without a word on one call, after which the engine is asked anew on another connection
 DEAF = 2.2  # seconds without a word at all, after which the attempt is given up
 UNASKED = 2.05  # seconds after which an engine has dropped a query that nobody asks for
 PROBE_FOR = 1.0
@@ -138,22 +138,50 @@
         try:
             head, body = self._response(conn, min(attempt.until, time.monotonic() + SILENT))
         except (Closed, TimedOut, Malformed) as why:
-            self.pools.drop(conn)
+            if isinstance(why, TimedOut):
+                self._leave(attempt.peer, conn)
+            else:
+                self.pools.drop(conn)
             left(attempt.until)
             if isinstance(why, Malformed):
                 raise Over(Outcome.ERROR) from None
             raise Lost from None
         except BaseException:
-            self.pools.drop(conn)
+            self._leave(attempt.peer, conn)
             raise
         attempt.heard = time.monotonic()
         return head, body
 
+    def _leave(self, peer: Peer, conn: Connection) -> None:
+        """Nobody waits for its answer any more; once that has come, the connection is good for another."""
+        if conn.begun:
+            self.pools.drop(conn)
+        else:
+            self.hub.spawn(self._drain, peer, conn, name="drain")
+
+    def _drain(self, peer: Peer, conn: Connection) -> None:
+        try:
+            head = self._response(conn, time.monotonic() + SILENT)[0]
+        except (Closed, TimedOut, Malformed):
+            self.pools.drop(conn)
+            return
+        if head.stays:
+            self.pools.give(peer, conn)
+        else:
+            self.pools.drop(conn)
+
     def _response(self, conn: Connection, until: float) -> tuple[http1.Head, bytes]:
+        conn.begun = False
         while True:
             head = http1.response_head(conn.read_until(b"\r\n\r\n", until))
+            conn.begun = True
             if head.status >= 200:
                 break
+        found = head, self._body(conn, head, until)
+        conn.begun = False
+        return found
+
+    def _body(self, conn: Connection, head: http1.Head, until: float) -> bytes:
         if head.chunked:
             parts, size = [], 0
             while count := http1.chunk_size(conn.read_until(b"\r\n", until)):
@@ -164,11 +192,11 @@
                 conn.read_until(b"\r\n", until)
             while conn.read_until(b"\r\n", until) != b"\r\n":
                 pass
-            return head, b"".join(parts)
+            return b"".join(parts)
         length = head.length
         if length is None:
             raise Malformed("no length")
-        return head, conn.read(length, until)
+        return conn.read(length, until)
 
     def _done(self, attempt: Attempt, conn: Connection, head: http1.Head) -> None:
         if head.stays:
--- a/aspenrill/engines/pool.py
+++ b/aspenrill/engines/pool.py
@@ -8,10 +8,13 @@
 from greenlet import getcurrent
 
 from ..core.books import Peer
-from ..net.conn import Connection, Refused, connect, left
+from ..net.conn import Connection, Refused, connect
 from ..net.hub import Closed, Hub, TimedOut
 from ..wire import Malformed
 
+MOST_DIALING = 16  # connections to one engine that come up at a time
+AFTER_FAILURE = 0.1  # seconds without another try after one that did not come up
+
 
 class Pools:
     """Takes and gives back connections; the idle ones lie with their engine's record."""
@@ -26,22 +29,38 @@
 
     def take(self, peer: Peer, until: float, fresh: bool = False) -> Connection:
         """An idle connection that is still sound, or a new one; Refused where none comes up in time."""
-        while peer.idle and not fresh:
-            conn = peer.idle.pop()
-            conn.rest.cancel()
-            del self.resting[conn]
-            if conn.quiet():
-                conn.reused = True
-                return conn
-            self.drop(conn)
         until = min(until, time.monotonic() + self.connect_for)
+        while True:
+            while peer.idle and not fresh:
+                conn = peer.idle.pop()
+                conn.rest.cancel()
+                del self.resting[conn]
+                if conn.quiet():
+                    conn.reused = True
+                    return conn
+                self.drop(conn)
+            if peer.dialing < MOST_DIALING:
+                break
+            if not self._wait(peer.waiting, until):
+                raise Refused("no connection in time")
+        if time.monotonic() < peer.failed_at + AFTER_FAILURE:
+            raise Refused("none came up just now")  # more of them would only lengthen its line
         self._room(until)
+        return self._dial(peer, until)
+
+    def _dial(self, peer: Peer, until: float) -> Connection:
         self.count += 1
+        peer.dialing += 1
         try:
             conn = connect(self.hub, peer.address, until)
-        except BaseException:
+        except BaseException as why:
             self._left()
+            if isinstance(why, Refused) and str(why) != "ECONNREFUSED" and not why.scarce:
+                peer.failed_at = time.monotonic()
             raise
+        finally:
+            peer.dialing -= 1
+            self._next(peer)
         if self.greet is not None:
             try:
                 self.greet(conn, until)
@@ -60,6 +79,7 @@
             return
         self.hub.unwatch(conn.fd)
         peer.idle.append(conn)
+        self._next(peer)
         self.resting[conn] = peer
         conn.rest = self.hub.timers.after(self.idle_for, self._tired, peer, conn)
 
@@ -91,12 +111,26 @@
                 conn = next(iter(self.resting))
                 self._tired(self.resting[conn], conn)
                 continue
-            wait = (getcurrent(), self.hub.begin_wait())
-            self.waiting.append(wait)
-            try:
-                self.hub.park(left(until))
-            except TimedOut:
-                raise Refused("no descriptor left for a connection", scarce=True) from None
-            finally:
-                if wait in self.waiting:
-                    self.waiting.remove(wait)
+            if not self._wait(self.waiting, until):
+                raise Refused("no descriptor left for a connection", scarce=True)
+
+    def _wait(self, line: deque, until: float) -> bool:
+        """Wait in a line for a turn; False where none comes in time."""
+        seconds = until - time.monotonic()
+        if seconds <= 0:
+            return False
+        wait = (getcurrent(), self.hub.begin_wait())
+        line.append(wait)
+        try:
+            self.hub.park(seconds)
+        except TimedOut:
+            return wait not in line  # a turn that came at the last moment is one
+        finally:
+            if wait in line:
+                line.remove(wait)
+        return True
+
+    def _next(self, peer: Peer) -> None:
+        """An idle connection, or a turn to dial, for who waits longest."""
+        if peer.waiting:
+            self.hub.wake(*peer.waiting.popleft())
--- a/aspenrill/net/conn.py
+++ b/aspenrill/net/conn.py
@@ -40,6 +40,7 @@
         self.incoming, self.outgoing = Ring(ring), Ring(ring)
         self.open = True
         self.reused, self.rest = False, None  # for a pool: carried a call before; timer of its idle time
+        self.begun = False  # within a message, so that nobody else can read on
         self.written = 0  # bytes that the system has taken over
 
     def close(self) -> None:
