--- a/aspenrill/engines/pool.py
+++ b/aspenrill/engines/pool.py
@@ -77,7 +77,6 @@
         if not peer.takes_work or not conn.open or len(conn.incoming) or self.waiting:
             self.drop(conn)
             return
-        self.hub.unwatch(conn.fd)
         peer.idle.append(conn)
         self._next(peer)
         self.resting[conn] = peer
--- a/aspenrill/fronts/thrift.py
+++ b/aspenrill/fronts/thrift.py
@@ -18,7 +18,7 @@
 IDLE_FOR = 60.0  # seconds after which a connection with nothing open is closed
 FRAME_FOR = 10.0  # seconds for the rest of a frame once it has begun
 WRITE_FOR = 10.0  # seconds for the writing of one answer
-MARGIN = 0.04  # seconds of a client's time kept back for the way of the answer; being behind comes on top
+MARGIN = 0.1  # seconds of a client's time kept back for the way of the answer; being behind comes on top
 ID = re.compile(r"[0-9a-fA-F]{16}\Z")
 
 
