After an outcome look only at held loads of the group that it freed

Seen: front end n2 at its core's limit; _release 17.6% of its samples, most in _start for loads that cannot start. Ruled out: the scheduler (5.7%) and parsers (about 5% each).

--- a/aspenrill/control.py
+++ b/aspenrill/control.py
@@ -56,6 +56,7 @@
         self.mean_worth = max(1e-3, sum(c.worth for c in settings.classes) / len(settings.classes))
         self.mix, self.met = Mix(self.classes), {}  # engines that own answers told of, and when
         self.readers_wait = any(c.waits_for_loads for c in settings.classes)
+        self.freed = None  # the kind that has ended last
         self.timer_at, self.list_retry, self.back_at = math.inf, math.inf, now
         self.probes, self.bytes = PROBES, 2 * NEWS_COST * self.random.random()  # earned by requests
 
@@ -86,7 +87,7 @@
                 self._watch()
                 self._step_gap()
         if self.held and not isinstance(event, (api.Request, api.AttemptNote)):
-            self._release(self.thin or isinstance(event, api.TimerDue))
+            self._release(self.thin or not isinstance(event, api.AttemptEnded))
         busy = self.held or self.out or self.rung or self.ejected or self.list_retry < math.inf
         wait = TICK if self.held else WATCH
         if busy and now + wait < self.timer_at:
@@ -260,7 +261,8 @@
         """First come, first out among those that could start; what is past its tt goes at once."""
         blocked = set()  # whose fresh queries no engine can take now
         for query in list(self.held.values()):
-            if (kind := query.kind) in blocked and not expire:
+            kind = query.kind  # of the loads, only those of its own group can start where one has ended
+            if not expire and (kind in blocked or kind[1] is not None and kind != self.freed):
                 continue  # most that wait wait for the same: a look at each would cost more than it finds
             if self._tt(query) < 0 and self.now > query.asked_at + 2 * TICK:
                 self._end(query, counted=True)
@@ -455,7 +457,7 @@
         del engine.out[end.request]
         engine.threads -= spec.threads
         engine.count_load(query.ask.data_set, -spec.is_load)
-        query.engine = None
+        query.engine, self.freed = None, query.kind
         if not end.outcome.never_ran and query.ran_at is None:
             query.ran_at, query.ran_on = query.sent_at, engine
         if end.outcome.may_still_run and query.ask.key is not None and self.set.key_rest is not None:
