Pause between two asks by the pace since the last note; loads are asked often

Checked: held loads start only when the end of the one before is seen. Cause: _pause took time in line for time of work, and left a load unasked for up to 1 s beyond its end.

--- a/aspenrill/engines/http.py
+++ b/aspenrill/engines/http.py
@@ -19,6 +19,7 @@
 UNASKED = 2.05  # seconds after which an engine has dropped a query that nobody asks for
 PROBE_FOR = 1.0
 PAUSE, PAUSE_LEAST, PAUSE_MOST = 0.5, 0.06, 1.0  # part of the time left that passes unasked, and its bounds
+PAUSE_LOAD = 0.1  # the most for a load: others wait for its end
 DELETE_FOR = 0.6
 MOST_PAGE, MOST_RESULT = 6000, 48000
 NOTES = {"frac": NoteKind.PROGRESS, "missing": NoteKind.SPILLS, "parked": NoteKind.WAITS}
@@ -210,14 +211,21 @@
         if kind is None or amount is None:
             return None
         self.post(Noted(attempt, kind, amount))
+        if kind is NoteKind.WAITS:
+            attempt.state = (time.monotonic(), 0.0)  # it gets nowhere: progress counts from here
         return amount if kind is NoteKind.PROGRESS else None
 
     def _pause(self, attempt: Attempt, conn: Connection, head: http1.Head, share: float | None) -> Connection:
         """Ask a long query less often: not before a part of what its note leaves has passed."""
         if not share:
             return conn
-        ran = time.monotonic() - attempt.began
-        pause = min(PAUSE_MOST, PAUSE * ran * (1 - share) / share, attempt.until - time.monotonic())
+        now = time.monotonic()
+        since, before = attempt.state or (attempt.began, 0.0)
+        attempt.state = (now, share)
+        if share <= before:
+            return conn
+        most = PAUSE_LOAD if self.settings.classes[attempt.call.cls].is_load else PAUSE_MOST
+        pause = min(most, PAUSE * (now - since) * (1 - share) / (share - before), attempt.until - now)
         if pause < PAUSE_LEAST:
             return conn
         self._done(attempt, conn, head)
--- /dev/null
+++ b/tests/test_http.py
@@ -0,0 +1,69 @@
+"""How long a query may go unasked, and what answers of engines prove."""
+from __future__ import annotations
+
+import time
+
+import pytest
+from standins import CLASSES, SETTINGS
+
+from aspenrill import api
+from aspenrill.core.books import Attempt, Call, Peer
+from aspenrill.engines.http import PAUSE_MOST, HttpEngines, meter
+from aspenrill.net.hub import Hub
+from aspenrill.wire import http1
+
+
+class Pools:
+    """Counts what is given back; takes nothing."""
+
+    def take(self, *_):
+        return "another"
+
+    def give(self, *_):
+        pass
+
+
+def paused(state, share: float, ran: float, is_load: bool = False) -> float:
+    """How long an attempt that began `ran` seconds ago is left unasked after a note."""
+    hub, found = Hub(lambda text: None), []
+    spec = api.QueryClass(1, 5, api.Effect.SAFE, is_load=is_load)
+    settings = api.Settings(classes=(spec,), cores_by_kind=(8,))
+    engines = HttpEngines(hub, Pools(), settings, CLASSES, found.append)
+    hub.sleep = found.append
+    now = time.monotonic()
+    call = Call("0" * 16, 0, 0, b"x", None, None, now, 60.0, lambda *_: None)
+    attempt = Attempt(call, Peer("e", ("", 0), api.EngineState.LIVE), 0, now + 60, 1)
+    attempt.began = now - ran
+    attempt.state = state and (now - state[0], state[1])
+    engines._pause(attempt, None, http1.Head(202, {}), share)
+    return found[0] if found else 0.0
+
+
+@pytest.mark.parametrize("state, share, ran, least, most", [
+    (None, 0.5, 1.0, 0.45, 0.55), (None, 0.01, 1.0, PAUSE_MOST, PAUSE_MOST), (None, 0.99, 1.0, 0, 0),
+    ((0.2, 0.0), 0.2, 5.0, 0.35, 0.45),  # stood still for long: only what it did since counts
+    ((0.2, 0.4), 0.6, 5.0, 0.15, 0.25), ((0.2, 0.5), 0.5, 5.0, 0, 0)])
+def test_a_query_is_left_unasked_for_a_part_of_what_its_pace_leaves(state, share, ran, least, most):
+    # one that had waited for a load was taken for a slow one, and its end was seen up to a second late
+    assert least - 0.01 <= paused(state, share, ran) <= most + 0.01 < 1.5
+
+
+def test_a_load_is_asked_often():
+    # the next load of its group starts when its end is seen
+    assert paused(None, 0.1, 1.0, is_load=True) <= 0.1
+
+
+@pytest.mark.parametrize("status, fields, outcome", [
+    (503, {"x-shed": "1"}, api.Outcome.FULL), (503, {}, api.Outcome.ERROR), (500, {}, api.Outcome.ERROR),
+    (504, {"x-shed": "1"}, api.Outcome.MOOT), (504, {}, api.Outcome.TIMEOUT),
+    (500, {"x-shed": "1"}, api.Outcome.ERROR)])
+def test_only_a_marked_refusal_proves_that_nothing_ran(status, fields, outcome):
+    engines = HttpEngines(Hub(lambda text: None), Pools(), SETTINGS, CLASSES, print)
+    assert engines._refusal(http1.Head(status, fields)) is outcome
+
+
+@pytest.mark.parametrize("text, told", [
+    ("load_share:0.5;depth:3", (0.5, 3.0)), ("util:0.5", (0.5, 0.0)), ("", None), (None, None),
+    ("util:x", None), ("other:1", None)])
+def test_load_reports(text, told):
+    assert meter(text, ("util", "queue")) == told
