--- a/tests/test_both.py
+++ b/tests/test_both.py
@@ -260,3 +260,19 @@
             world.hub.sleep(0.3)
             assert client.read(5).rows == WIDE
     world.run(play)
+
+
+@PROTOCOLS
+def test_more_requests_than_connections_take_turns(protocol):
+    # descriptors are budgeted: what finds none waits a little, and is told that nothing ran if none comes
+    world = World(protocol, 1)
+
+    def play():
+        world.node.pools.most = 2
+        world.engines[0].act = lambda s: Act(after=0.02)
+        clients = [world.client() for _ in range(6)]
+        for client in clients:
+            client.send("select 1")
+        assert [client.read(5).kind for client in clients] == ["served"] * 6
+        assert world.engines[0].most <= 2 and world.node.pools.count <= 2
+    world.run(play)
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -8,7 +8,9 @@
 
 from aspenrill import api
 from aspenrill.core.books import Attempt, Call, Peer
+from aspenrill.engines import pool
 from aspenrill.engines.http import PAUSE_MOST, HttpEngines, meter
+from aspenrill.net.conn import Refused
 from aspenrill.net.hub import Hub
 from aspenrill.wire import http1
 
@@ -67,3 +69,32 @@
     ("util:x", None), ("other:1", None)])
 def test_load_reports(text, told):
     assert meter(text, ("util", "queue")) == told
+
+
+def test_an_engine_that_does_not_accept_is_not_stormed(monkeypatch):
+    # each try lengthened the line of a stalled engine by one that nobody would use any more
+    hub, now, most, tries = Hub(lambda text: None), [0], [0], [0]
+
+    def dial(hub, address, until):
+        tries[0] += 1
+        now[0] += 1
+        most[0] = max(most[0], now[0])
+        hub.sleep(0.05)
+        now[0] -= 1
+        raise Refused("no connection in time")
+
+    monkeypatch.setattr(pool, "connect", dial)
+    pools, peer, refused = pool.Pools(hub, 500, 10, 0.25), Peer("e", ("", 0), api.EngineState.LIVE), []
+
+    def take():
+        try:
+            pools.take(peer, time.monotonic() + 5)
+        except Refused as why:
+            refused.append(why)
+            if len(refused) == 200:
+                hub.stop()
+
+    for _ in range(200):
+        hub.spawn(take)
+    hub.run()
+    assert most[0] <= pool.MOST_DIALING and tries[0] <= 3 * pool.MOST_DIALING and pools.count == 0
--- a/tests/test_tool.py
+++ b/tests/test_tool.py
@@ -8,10 +8,14 @@
 import subprocess
 import sys
 import time
+from types import SimpleNamespace
 
 import pytest
+from standins import ROWS, HttpEngine, Reply, TdsClient
 
 from aspenrill import application
+from aspenrill.net.hub import Hub
+from aspenrill.node import ConfigError, platform
 from aspenrill.tool.__main__ import main
 from aspenrill.tool.template import TEMPLATE
 from aspenrill.wire import tds, thrift
@@ -155,3 +159,34 @@
         sock.sendall(struct.pack(">BBHHBB", 1, 1, 2, 0, 0, 0))
     child.send_signal(signal.SIGTERM)
     assert child.wait(10) == 0 and "Traceback" not in child.stderr.read()
+
+
+def test_a_platform_node_serves_tds_where_its_file_says_so(tmp_path):
+    # TDS clients and HTTP engines meet at the same owner: rows of text become rows of TDS
+    logged = []
+    hub = Hub(logged.append)
+    engine = HttpEngine(hub, "s-00000001")
+    host = {"host": engine.name, "dial": f"127.0.0.1:{engine.listener.address[1]}", "site": "z",
+            "class": "k", "health": "in_service"}
+    known = {"no": 1, "items": [{"no": 1, "roster": {"whole": True, "hosts": [host]}}]}
+    config, front = tmp_path / "config.json", tmp_path / "tds.toml"
+    config.write_text(json.dumps(CONFIG | {"known": known}))
+    text = 'name = "n"\nenabled = %s\nlisten = "127.0.0.1:0"\n[[login]]\nuser = "*"\nclass = "lookup"\n' \
+           'timeout_ms = 5000\n'
+    front.write_text(text % "false")
+    assert len(platform(hub, {"NODE_CONFIG": str(config)}, front).fronts) == 1
+    front.write_text(text % "true")
+    node = platform(hub, {"NODE_CONFIG": str(config)}, front)
+    replies = []
+
+    def play():
+        world = SimpleNamespace(hub=hub, address=node.fronts[1][1].address)
+        replies.append(TdsClient(world, "anyone", 5).ask("select 1 from sales_1.x"))
+        hub.stop()
+
+    hub.spawn(play)
+    hub.run()
+    assert replies == [Reply("served", ROWS)] and engine.statements == ["select 1 from sales_1.x"]
+    front.write_text(text.replace("lookup", "nothing") % "true")
+    with pytest.raises(ConfigError, match=r"login\[0\].class"):
+        platform(hub, {"NODE_CONFIG": str(config)}, front)
