SIGHUP rereads the configuration; a bulletin that moves is asked at once

Now the file is read again: a new bulletin is asked from the last number at once, the old one dropped; a bad file is one line in the log. The sidecar rereads logins, engines and resolver. An event told twice makes the follower ask again.

--- a/aspenrill/node.py
+++ b/aspenrill/node.py
@@ -10,6 +10,7 @@
 import sys
 import time
 import tomllib
+import traceback
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from pathlib import Path
@@ -141,6 +142,7 @@
                            connect_for, greet)
         self.owner = Owner(hub, settings, seed, make(self.pools, self.post))
         self.fronts: list[tuple[Any, Listener]] = []
+        self.reread: Callable[[], None] = lambda: None  # what SIGHUP does; ConfigError where it cannot
         hub.spawn(self.owner.run, name="owner")
 
     def post(self, event: Any) -> None:
@@ -154,6 +156,15 @@
         self.fronts.append((service, listener))
         return listener
 
+    def reload(self) -> None:
+        """After SIGHUP: the configuration anew, or the old one where it cannot be used."""
+        try:
+            self.reread()
+        except ConfigError as why:
+            self.hub.log(f"configuration not taken, the old one stays: {why}")
+        else:
+            self.hub.log("configuration read again")
+
     def leave(self) -> None:
         """After SIGTERM: take what still comes, answer everything, end."""
         began = time.monotonic()
@@ -187,7 +198,16 @@
     extra = _extra_front(tds_file, (config.classes, keyed, config.tenants))
     if extra is not None:
         node.listen(extra.listen, tds.Service(hub, extra.logins, node.post, extra.name), "tds", 0.05)
-    hub.spawn(Bulletin(hub, config.bulletin, config.last, node.post).run, name="bulletin")
+    bulletin = Bulletin(hub, config.bulletin, config.last, node.post)
+    bulletin.start()
+
+    def reread() -> None:
+        now = read_config(env)
+        if (now.settings, now.listen, now.sockets) != (config.settings, config.listen, config.sockets):
+            hub.log("configuration: settings, listen and limits take effect at the next start")
+        bulletin.move(now.bulletin)
+
+    node.reread = reread
     return node
 
 
@@ -208,8 +228,8 @@
     return found
 
 
-def sidecar(hub: Hub, path: str) -> Node:
-    """One application's front: TDS before it, TDS engines behind it."""
+def _application(path: str) -> application.Application:
+    """An application's file; ConfigError names its first fault."""
     try:
         with open(path, encoding="utf-8") as file:
             app, faults = application.read(file.read())
@@ -218,30 +238,71 @@
     if app is None:
         more = f" (and {len(faults) - 1} more; the tool's check names them)" if faults[1:] else ""
         raise ConfigError(f"{path}: {faults[0]}{more}")
+    return app
+
+
+def _members(app: application.Application) -> News:
+    """The engines that the file itself lists."""
+    return News(0, True, tuple(Member(name, address, api.EngineState.LIVE, kind=kind)
+                               for name, address, kind in app.engines))
+
+
+def sidecar(hub: Hub, path: str) -> Node:
+    """One application's front: TDS before it, TDS engines behind it."""
+    app = _application(path)
     node = Node(hub, app.settings, int.from_bytes(os.urandom(8), "big"), app.sockets, app.idle_for,
                 app.connect_for, lambda pools, post: TdsEngines(hub, pools, post, app.answer_bytes),
                 logging_in(app.user, app.app))
+    roster, service = None, None
     if app.source == "list":
-        node.owner.take(News(0, True, tuple(Member(name, address, api.EngineState.LIVE, kind=kind)
-                                            for name, address, kind in app.engines)))
+        node.owner.take(_members(app))
     else:
-        hub.spawn(DnsSd(hub, app.resolver, app.service, app.kinds, node.post).run, name="dns-sd")
+        roster = DnsSd(hub, app.resolver, app.service, app.kinds, node.post)
+        roster.start()
     if app.enabled:
-        node.listen(app.listen, tds.Service(hub, app.logins, node.post, app.name), "tds")
+        service = tds.Service(hub, app.logins, node.post, app.name)
+        node.listen(app.listen, service, "tds")
+
+    def reread() -> None:
+        nonlocal app
+        now = _application(path)
+        if (now.source, now.settings, now.kinds, now.listen, now.enabled) != (
+                app.source, app.settings, app.kinds, app.listen, app.enabled):
+            raise ConfigError(f"{path}: only logins, engines and resolver can change without a new start")
+        app = now
+        if service is not None:
+            service.mappings = now.logins
+        if roster is None:
+            node.post(_members(now))
+        else:
+            roster.move(now.resolver, now.service)
+
+    node.reread = reread
     return node
 
 
-def on_signal(hub: Hub, number: int, act: Any) -> None:
-    """Run `act` in a task once the signal has come."""
+def on_signal(hub: Hub, number: int, act: Callable[[], None]) -> None:
+    """Run `act` in a task each time the signal has come."""
     ours, theirs = socket.socketpair()
     ours.setblocking(False)
     theirs.setblocking(False)
-    signal.signal(number, lambda *_: theirs.send(b"x"))
+
+    def came(*_: Any) -> None:
+        try:
+            theirs.send(b"x")
+        except BlockingIOError:
+            pass  # many lie there unread: one more changes nothing
+
+    signal.signal(number, came)
 
     def wait() -> None:
-        hub.wait_fd(ours.fileno(), READ, None)
-        ours.recv(1)
-        act()
+        while True:
+            hub.wait_fd(ours.fileno(), READ, None)
+            ours.recv(4096)
+            try:
+                act()
+            except Exception:
+                hub.report(f"signal {number}", traceback.format_exc())
 
     hub.spawn(wait, name="signal")
 
@@ -250,6 +311,8 @@
     """Run one front end until SIGTERM; 2 where its configuration cannot be used."""
     words = sys.argv[1:] if words is None else words
     hub = Hub(lambda text: print(text, file=sys.stderr, flush=True))
+    node: Node | None = None
+    on_signal(hub, signal.SIGHUP, lambda: node.reload())  # first: by default it would end the program
     try:
         if len(words) > 1:
             raise ConfigError("usage: python -m aspenrill [FILE], the file being an application's")
--- a/aspenrill/roster/bulletin.py
+++ b/aspenrill/roster/bulletin.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from ..net.conn import Refused, connect
-from ..net.hub import Closed, Hub, TimedOut
+from ..net.hub import Closed, Hub, Task, TimedOut
 from ..wire import Malformed
 from ..wire import bulletin as wire
 
@@ -20,17 +20,31 @@
     def __init__(self, hub: Hub, address: tuple[str, int], last: int,
                  post: Callable[[wire.News], None]) -> None:
         self.hub, self.address, self.last, self.post = hub, address, last, post
+        self.task: Task | None = None
+
+    def start(self) -> None:
+        """Follow it in a task of its own."""
+        self.task = self.hub.spawn(self.run, name="bulletin")
+
+    def move(self, address: tuple[str, int]) -> None:
+        """It is elsewhere from now on: the old one is dropped, and the new one asked from the last number."""
+        if address != self.address:
+            self.address = address
+            self.task.interrupt(Closed("it has moved"))
 
     def run(self) -> None:
-        """Connect, follow, and connect again whenever it breaks or falls silent."""
+        """Connect, follow, and connect again whenever it breaks, falls silent, repeats itself or moves."""
         while True:
-            began = time.monotonic()
+            began, asked = time.monotonic(), self.address
             try:
-                self._follow()
-            except (Closed, TimedOut, Refused, Malformed) as why:
-                self.hub.log(f"bulletin: {type(why).__name__} {why}; asking again from event {self.last}")
-            if time.monotonic() < began + BREATH:
-                self.hub.sleep(BREATH)
+                try:
+                    self._follow()
+                except (Closed, TimedOut, Refused, Malformed) as why:
+                    self.hub.log(f"bulletin: {type(why).__name__} {why}; asking again from event {self.last}")
+                if asked == self.address and time.monotonic() < began + BREATH:
+                    self.hub.sleep(BREATH)
+            except Closed:  # it moved while none came up
+                continue
 
     def _follow(self) -> None:
         conn = connect(self.hub, self.address, time.monotonic() + CONNECT_FOR)
@@ -40,8 +54,10 @@
                 until = time.monotonic() + SILENT
                 size, number, kind = wire.frame_head(conn.read(wire.HEAD.size, until))
                 news = wire.frame_news(number, kind, conn.read(size, until))
-                if news is None or number <= self.last:
+                if news is None:
                     continue
+                if number <= self.last:
+                    raise Malformed(f"event {number} again")  # what follows may be missing: ask anew
                 if number != self.last + 1 and not news.whole:
                     raise Malformed(f"event {number} after {self.last}")
                 self.last = number
--- a/aspenrill/roster/dnssd.py
+++ b/aspenrill/roster/dnssd.py
@@ -8,7 +8,7 @@
 
 from ..api import EngineState
 from ..net.conn import Refused, connect
-from ..net.hub import READ, Closed, Hub, TimedOut
+from ..net.hub import READ, Closed, Hub, Task, TimedOut
 from ..wire import Malformed, dns
 from ..wire.bulletin import Member, News
 
@@ -19,6 +19,10 @@
 STATES = {"draining": EngineState.DRAINING, "gone": EngineState.GONE}
 
 
+class Moved(Exception):
+    """The list is to be had elsewhere from now on."""
+
+
 def properties(texts: Iterable[str]) -> dict[str, str]:
     """Key and value pairs of a TXT record: keys without case, and the first of each counts."""
     found: dict[str, str] = {}
@@ -39,23 +43,38 @@
         self.last: tuple[Member, ...] | None = None
         self.number = 0
         self.first_seen: dict[str, float] = {}
+        self.task: Task | None = None
+
+    def start(self) -> None:
+        """Follow it in a task of its own."""
+        self.task = self.hub.spawn(self.run, name="dns-sd")
+
+    def move(self, resolver: tuple[str, int], service: str) -> None:
+        """Another resolver or name: asked at once, the last list stays until it answers."""
+        asked = resolver, dns.name_of(service)
+        if asked != (self.resolver, self.service):
+            self.resolver, self.service = asked
+            self.task.interrupt(Moved())
 
     def run(self) -> None:
         """Look, and look again when the first record has run out."""
         wait = RETRY
         while True:
             try:
-                members, ttl = self.look()
-            except (Refused, Closed, TimedOut, Malformed, OSError) as why:
-                self.hub.log(f"dns-sd: {type(why).__name__} {why}; the last list stays")
-                self.hub.sleep(wait)
-                wait = min(RETRY_MOST, wait * 2)
-                continue
-            wait = RETRY
-            if members != self.last:
-                self.last, self.number = members, self.number + 1
-                self.post(News(self.number, True, members))
-            self.hub.sleep(min(MOST_TTL, max(LEAST_TTL, ttl)))
+                try:
+                    members, ttl = self.look()
+                except (Refused, Closed, TimedOut, Malformed, OSError) as why:
+                    self.hub.log(f"dns-sd: {type(why).__name__} {why}; the last list stays")
+                    self.hub.sleep(wait)
+                    wait = min(RETRY_MOST, wait * 2)
+                    continue
+                wait = RETRY
+                if members != self.last:
+                    self.last, self.number = members, self.number + 1
+                    self.post(News(self.number, True, members))
+                self.hub.sleep(min(MOST_TTL, max(LEAST_TTL, ttl)))
+            except Moved:
+                wait = RETRY
 
     def look(self) -> tuple[tuple[Member, ...], float]:
         """The engines as they are listed now, and for how many seconds that holds."""
--- a/tests/test_rosters.py
+++ b/tests/test_rosters.py
@@ -69,6 +69,53 @@
     assert greetings[:5] == [4, 5, 5, 5, 6]
 
 
+def test_a_repeat_makes_it_ask_again_at_once():
+    # a bulletin that tells an event twice may have left out the one that belongs there
+    hub, greetings, news = Hub(lambda text: None), [], []
+
+    def serve(conn: Connection) -> None:
+        greetings.append(struct.unpack(">Q", conn.read(8, time.monotonic() + 5))[0])
+        says = frame(5, 2, RECORD) * 2 if len(greetings) == 1 else frame(6, 2, RECORD)
+        conn.write(says, time.monotonic() + 5)
+        hub.sleep(5)
+
+    listener = Listener(hub, ("127.0.0.1", 0), serve, 10, "bulletin")
+    follower.Bulletin(hub, listener.address, 4, news.append).start()
+    play(hub, lambda: until(hub, lambda: len(news) == 2, 2))
+    assert greetings == [4, 5] and [n.number for n in news] == [5, 6]
+
+
+def test_a_bulletin_that_moves_is_asked_at_once_with_the_numbers_going_on():
+    # the old one tells nothing any more: what it had to tell would be missed until it closes
+    hub, asked, news = Hub(lambda text: None), [], []
+
+    def serving(name: str):
+        def serve(conn: Connection) -> None:
+            number = struct.unpack(">Q", conn.read(8, time.monotonic() + 5))[0]
+            asked.append((name, number))
+            conn.write(frame(number + 1, 2, RECORD), time.monotonic() + 5)
+            conn.read(1, None)
+        return Listener(hub, ("127.0.0.1", 0), serve, 10, name)
+
+    old, new = serving("old"), serving("new")
+    bulletin_ = follower.Bulletin(hub, old.address, 4, news.append)
+    bulletin_.start()
+
+    def scene():
+        until(hub, lambda: len(news) == 1)
+        bulletin_.move(new.address)
+        until(hub, lambda: len(news) == 2, 1.0)
+        until(hub, lambda: not old.connections, 1.0)
+        new.close()  # and it can move while none comes up
+        for conn in list(new.connections):
+            conn.close()
+        hub.sleep(0.05)
+        bulletin_.move(old.address)
+        until(hub, lambda: len(news) == 3, 1.0)
+    play(hub, scene)
+    assert asked == [("old", 4), ("new", 5), ("old", 6)]
+
+
 class Resolver:
     """Answers from a table, by datagram or, where told, by stream; may keep silent or fail."""
 
@@ -163,6 +210,23 @@
     play(hub, scene)
 
 
+def test_records_that_are_elsewhere_now_are_asked_for_at_once():
+    # a new resolver in the file must not wait for the old records to run out
+    hub, news = Hub(lambda text: None), []
+    old, new = Resolver(hub), Resolver(hub)
+    old.put(1433, ttl=3600)
+    new.put(1434)
+    finder = DnsSd(hub, old.listener.address, "_tds._tcp.x.local", ("big",), news.append)
+    finder.start()
+
+    def scene():
+        until(hub, lambda: news)
+        finder.move(new.listener.address, "_tds._tcp.x.local")
+        until(hub, lambda: len(news) == 2, 2.0)
+        assert [m.address[1] for m in news[1].members] == [1434] and news[1].whole
+    play(hub, scene)
+
+
 @pytest.mark.parametrize("texts, told", [
     ((), {}), (("kind=a", "KIND=b"), {"kind": "a"}), (("flag",), {"flag": ""}),
     (("=x", "a=b=c"), {"a": "b=c"})])
--- a/tests/test_tool.py
+++ b/tests/test_tool.py
@@ -139,6 +139,60 @@
     assert child.wait(10) == 0 and "Traceback" not in child.stderr.read()
 
 
+def greeted(listener: socket.socket) -> tuple[socket.socket, bytes]:
+    """The connection of a front end that asks a bulletin, and what it wrote first."""
+    listener.settimeout(10)
+    conn = listener.accept()[0]
+    conn.settimeout(10)
+    return conn, receive(conn, 8)
+
+
+def test_sighup_rereads_the_file_and_a_bad_one_changes_nothing(tmp_path):
+    # by default the signal ends a program, and every request in it is lost
+    old, new = socket.create_server(("127.0.0.1", 0)), socket.create_server(("127.0.0.1", 0))
+    told = CONFIG | {"bulletin": f"127.0.0.1:{old.getsockname()[1]}", "known": {"no": 7, "items": []}}
+    child = start(tmp_path, told)
+    conn, number = greeted(old)
+    assert int.from_bytes(number, "big") == 7
+    path = tmp_path / "config.json"
+    whole = json.dumps(told | {"bulletin": f"127.0.0.1:{new.getsockname()[1]}"})
+    path.write_text(whole[:len(whole) // 2])
+    child.send_signal(signal.SIGHUP)
+    line = child.stderr.readline()
+    assert "old one stays" in line and "NODE_CONFIG" in line and child.poll() is None
+    path.write_text(whole)
+    child.send_signal(signal.SIGHUP)
+    assert int.from_bytes(greeted(new)[1], "big") == 7
+    assert conn.recv(1) == b""  # the old one is dropped
+    child.send_signal(signal.SIGTERM)
+    assert child.wait(10) == 0 and "Traceback" not in child.stderr.read()
+
+
+def test_sighup_gives_a_sidecar_new_logins_and_keeps_its_port(tmp_path):
+    path = tmp_path / "billing.toml"
+    known = GOOD.replace('user = "*"', 'user = "other"')
+    path.write_text(known)
+    child = start(tmp_path, CONFIG, str(path))
+    port = port_of(child.pid)
+
+    def code(user: str) -> int:
+        with socket.create_connection(("127.0.0.1", port), 10) as sock:
+            sock.settimeout(10)
+            sock.sendall(tds.packets(tds.LOGIN7, tds.login7(tds.Login(user, "settle"))))
+            return receive(sock, tds.packet_head(receive(sock, 8))[2])[0]
+
+    assert (code("clerk"), code("newcomer")) == (tds.LOGINACK, tds.ERROR)
+    path.write_text("[")
+    child.send_signal(signal.SIGHUP)
+    assert "old one stays" in child.stderr.readline()
+    path.write_text(known.replace('user = "clerk"', 'user = "newcomer"'))
+    child.send_signal(signal.SIGHUP)
+    assert "read again" in child.stderr.readline()
+    assert (code("clerk"), code("newcomer")) == (tds.ERROR, tds.LOGINACK)
+    child.send_signal(signal.SIGTERM)
+    assert child.wait(10) == 0 and "Traceback" not in child.stderr.read()
+
+
 def test_the_program_serves_an_application_over_tds(tmp_path):
     path = tmp_path / "billing.toml"
     path.write_text(GOOD)
