Quiet connections give way, first frames are bounded, no client's flood holds the loop

Checked: the log (a listener at its share), descriptors 205 to 224 of 384. At fault: Listener._accept waited while its share was full; thrift IDLE_FOR 60 s and FRAME_FOR 10 s; Session.run read on while bytes lay there, so one client held the loop. TDS: the same bounds.

--- a/aspenrill/fronts/tds.py
+++ b/aspenrill/fronts/tds.py
@@ -15,9 +15,10 @@
 from ..wire import Malformed, tds
 from ..wire.sql import table_group
 
-LOGIN_FOR = 10.0  # seconds for a client to log in
+LOGIN_FOR = 2.0  # seconds for a client to log in
+MOST_LOGIN = 16 * 1024  # bytes of a message before that
 IDLE_FOR = 3600.0
-PACKET_FOR = 10.0  # seconds for the rest of a message once it has begun
+PACKET_FOR = 2.0  # seconds for the rest of a message once it has begun
 WRITE_FOR = 10.0  # seconds for a client to take one packet
 MOST_STATEMENT = 256 * 1024
 MOST_MESSAGE = 2 * MOST_STATEMENT + 1024
@@ -105,7 +106,7 @@
 
     # ---- reading --------------------------------------------------------------------------------------
 
-    def _read(self, until: float) -> tuple[int, bytes]:
+    def _read(self, until: float, most: int = MOST_MESSAGE) -> tuple[int, bytes]:
         """A whole message. Its first packet may be long in coming, the rest may not."""
         parts, size, last, kind = [], 0, False, None
         while not last:
@@ -114,10 +115,10 @@
                 raise Malformed("a message of two types")
             kind = head[0]
             until = min(until, time.monotonic() + PACKET_FOR)
-            parts.append(self.conn.read(head[2], until))
             size += head[2]
-            if size > MOST_MESSAGE:
-                raise Malformed(f"message of over {MOST_MESSAGE} bytes")
+            if size > most:
+                raise Malformed(f"message of over {most} bytes")
+            parts.append(self.conn.read(head[2], until))
             last = bool(head[1] & tds.END_OF_MESSAGE)
             if last and head[1] & tds.IGNORE:
                 return 0, b""
@@ -125,11 +126,11 @@
 
     def _open(self) -> None:
         until = time.monotonic() + LOGIN_FOR
-        kind, body = self._read(until)
+        kind, body = self._read(until, MOST_LOGIN)
         if kind == tds.PRELOGIN:
             tds.read_prelogin(body)
             self.conn.write(tds.packets(tds.REPLY, tds.prelogin()), until)
-            kind, body = self._read(until)
+            kind, body = self._read(until, MOST_LOGIN)
         if kind != tds.LOGIN7:
             raise Malformed("no login")
         login = tds.read_login7(body)
@@ -139,11 +140,12 @@
             self._end_with(tds.error(UNKNOWN_LOGIN, text, 14))
             raise Closed("login refused")
         self.login, self.mapping = login, mapping
+        self.conn.spoke, self.conn.used = True, time.monotonic()
         self.conn.write(tds.packets(tds.REPLY, tds.login_answer(login, self.service.name)), until)
 
     def _message(self) -> None:
         kind, body = self._read(time.monotonic() + IDLE_FOR)
-        arrived = time.monotonic()
+        self.conn.used = arrived = time.monotonic()
         if kind == tds.ATTENTION:
             self._attend()
         elif kind == 0:
@@ -161,6 +163,7 @@
         if self.call is not None:
             self.service.post(Left(self.call))
             self.call = None
+            self.conn.busy -= 1
         if self.busy:
             self.attention = True  # the writer ends its message with the acknowledgement
             self.idle.wait(WRITE_FOR * 2)
@@ -181,6 +184,7 @@
         patience = max(0.0, mapping.timeout - self.service.hub.lag())
         self.call = Call(os.urandom(8).hex(), mapping.cls, mapping.tenant, statement.encode("utf-8"), key,
                          table_group(statement), arrived, patience, self._answer)
+        self.conn.busy += 1
         self.service.post(Asked(self.call))
 
     # ---- writing --------------------------------------------------------------------------------------
@@ -189,6 +193,7 @@
         if self.call is not call:
             return  # cancelled, and acknowledged
         self.call = None
+        self.conn.busy -= 1
         match final:
             case Served(result):
                 try:
@@ -208,6 +213,7 @@
     def _say(self, tokens: list[bytes]) -> None:
         """Hand a message to a writer. Requests come one at a time, so there is one writer at most."""
         self.busy = True
+        self.conn.busy += 1
         self.service.writing += 1
         self.service.hub.spawn(self._write, tokens, name="tds writer")
 
@@ -243,6 +249,8 @@
             self.conn.close()  # the client can tell that the answer is not whole
         finally:
             self.busy = self.attention = False
+            self.conn.busy -= 1
+            self.conn.used = time.monotonic()
             self.service.writing -= 1
             self.idle.set()
 
--- a/aspenrill/fronts/thrift.py
+++ b/aspenrill/fronts/thrift.py
@@ -13,10 +13,11 @@
 from ..wire import Malformed, thrift
 from ..wire.sql import table_group
 
-MOST_FRAME = 256 * 1024
-MOST_OPEN = 64  # requests open on a connection; twice what clients hold
-IDLE_FOR = 60.0  # seconds after which a connection with nothing open is closed
-FRAME_FOR = 10.0  # seconds for the rest of a frame once it has begun
+MOST_FRAME = 64 * 1024
+MOST_OPEN = 32  # requests open on a connection, as the protocol has it
+MOST_BAD = 16  # messages that cannot be used, after which a connection is closed
+FIRST_FOR = 2.0  # seconds for the first whole frame; later a connection may be quiet for good
+FRAME_FOR = 2.0  # seconds for the rest of a frame once it has begun
 WRITE_FOR = 10.0  # seconds for the writing of one answer
 MARGIN = 0.1  # seconds of a client's time kept back for the way of the answer; being behind comes on top
 ID = re.compile(r"[0-9a-fA-F]{16}\Z")
@@ -44,31 +45,37 @@
         self.open: dict[int, Call] = {}
         self.answers: deque[bytes] = deque()
         self.busy = False
+        self.bad = 0  # messages that could not be used
 
     def run(self) -> None:
         """Read until the client closes; what is open then has lost its client."""
         try:
-            while True:
-                self._frame()
+            self._frame(time.monotonic() + FIRST_FOR)
+            self.conn.spoke = True
+            while self.bad < MOST_BAD:
+                if len(self.answers) > MOST_OPEN:
+                    raise Closed("answers are not read")
+                if len(self.conn.incoming):
+                    self.service.hub.give_way()  # one client's flood is not to starve the others
+                self._frame(None)
         finally:
             self.conn.close()
             for call in self.open.values():
                 self.service.post(Left(call))
             self.open.clear()
 
-    def _frame(self) -> None:
-        while not len(self.conn.incoming):
-            try:
-                self.conn.fill(time.monotonic() + IDLE_FOR)
-            except TimedOut:
-                if not self.open and not self.busy:
-                    raise
-        until = time.monotonic() + FRAME_FOR
-        size = int.from_bytes(self.conn.read(4, until), "big")
+    def _frame(self, until: float | None) -> None:
+        conn = self.conn
+        if not len(conn.incoming):
+            conn.fill(until)
+        conn.busy += conn.spoke  # a first frame that stays half keeps no place
+        until = until or time.monotonic() + FRAME_FOR
+        size = int.from_bytes(conn.read(4, until), "big")
         if not 0 < size <= MOST_FRAME:
             raise Closed(f"frame of {size} bytes")
-        data = self.conn.read(size, until)
-        arrived = time.monotonic()
+        data = conn.read(size, until)
+        conn.used = arrived = time.monotonic()
+        conn.busy -= conn.spoke
         try:
             message = thrift.read_message(data)
         except Malformed as why:
@@ -81,19 +88,25 @@
             wanted = (args or {}).get(1)
             call = self.open.pop(wanted, None) if isinstance(wanted, int) else None
             if call is not None:
+                self.conn.busy -= 1
                 self.service.post(Left(call))
         elif message.kind != thrift.CALL:
+            self.bad += 1
             if message.kind != thrift.ONEWAY:
                 self._say(thrift.broken(name, seqid, thrift.PROTOCOL, "not a call"))
         elif args is None:
+            self.bad += 1
             self._say(thrift.broken(name, seqid, thrift.PROTOCOL, "arguments cannot be read"))
         elif name == "isWell":
             self._say(thrift.answer(name, seqid, b"", {}, self.service.well()))
         elif name != "serve":
+            self.bad += 1
             self._say(thrift.broken(name, seqid, thrift.UNKNOWN_METHOD, "no such method"))
         elif seqid in self.open:
+            self.bad += 1
             self._say(thrift.broken(name, seqid, thrift.BAD_SEQUENCE, "sequence number of an open request"))
         elif len(self.open) >= MOST_OPEN:
+            self.bad += 1
             self._say(thrift.thrown(name, seqid, 1, {}))
         else:
             self._serve(seqid, args, arrived)
@@ -102,9 +115,11 @@
         try:
             call = self._call(args, arrived, lambda call, final: self._answer(seqid, call, final))
         except ValueError as why:
+            self.bad += 1
             self._say(thrift.thrown("serve", seqid, 2, {"reason": str(why)}))
             return
         self.open[seqid] = call
+        self.conn.busy += 1
         self.service.post(Asked(call))
 
     def _call(self, args: dict[int, Any], arrived: float, reply: Callable[[Call, Final], None]) -> Call:
@@ -141,6 +156,8 @@
         if self.open.get(seqid) is not call:
             return
         del self.open[seqid]
+        self.conn.busy -= 1
+        self.conn.used = time.monotonic()
         match final:
             case Served(result) if result.form != "text":
                 self._say(thrift.thrown("serve", seqid, 2, {"reason": "the result is not text"}))
@@ -168,6 +185,7 @@
         self.answers.append(frame)
         if not self.busy:
             self.busy = True
+            self.conn.busy += 1
             self.service.writing += 1
             self.service.hub.spawn(self._write, name="thrift writer")
 
@@ -179,4 +197,5 @@
             self.conn.close()  # the client can tell that the answer is not whole
         finally:
             self.busy = False
+            self.conn.busy -= 1
             self.service.writing -= 1
--- a/aspenrill/net/conn.py
+++ b/aspenrill/net/conn.py
@@ -42,6 +42,8 @@
         self.reused, self.rest = False, None  # for a pool: carried a call before; timer of its idle time
         self.begun = False  # within a message, so that nobody else can read on
         self.written = 0  # bytes that the system has taken over
+        self.spoke, self.busy = False, 0  # for a listener: sent a whole message; how much is open on it
+        self.used = time.monotonic()  # when it was last of use
 
     def close(self) -> None:
         """Over; tasks that wait on it get Closed. May be called twice."""
@@ -111,6 +113,15 @@
             return False
         return False
 
+    def ended(self) -> bool | None:
+        """Whether the other side has closed, as far as can be seen; None where something lies unread."""
+        try:
+            return not self.sock.recv(1, socket.MSG_PEEK) or None
+        except AGAIN:
+            return False
+        except OSError:
+            return True
+
     # ---- writing --------------------------------------------------------------------------------------
 
     def write(self, data: bytes, until: float | None) -> None:
--- a/aspenrill/net/hub.py
+++ b/aspenrill/net/hub.py
@@ -70,6 +70,7 @@
         self._waits: dict[int, dict[int, tuple[Task, int]]] = {READ: {}, WRITE: {}}  # by descriptor
         self._masks: dict[int, int] = {}  # what of each descriptor is registered
         self._ready: deque[tuple[Task, Any]] = deque()
+        self._later: list[tuple[Task, Any]] = []  # ready again behind the next look at descriptors
         self._number = 0
         self._running = False
         self._lag, self._beat_due = 0.0, time.monotonic() + BEAT
@@ -129,6 +130,12 @@
         except TimedOut:
             pass
 
+    def give_way(self) -> None:
+        """Go on behind all that is ready, and behind the next look at descriptors and timers."""
+        wait, task = self.begin_wait(), getcurrent()
+        self._later.append((task, wait))
+        self.park(None)
+
     def wait_fd(self, fd: int, mask: int, timeout: float | None) -> None:
         """Wait until the descriptor can be read (READ) or written (WRITE), or is broken."""
         waits = self._waits[mask]
@@ -194,12 +201,16 @@
         if not self._running:
             return
         timeout = 0.0
-        if not ready:
+        if not ready and not self._later:
             due = self.timers.next_due()
             timeout = None if due is None else max(0.0, due - time.monotonic()) * 1000
         for fd, got in self._poll.poll(timeout):
             self._happened(fd, got)
         self.timers.run_due()
+        if self._later:
+            later, self._later = self._later, []
+            for task, wait in later:
+                self.wake(task, wait)
 
     def _happened(self, fd: int, got: int) -> None:
         """Wake who waits; a descriptor stays registered until it has news for nobody."""
--- a/aspenrill/net/listener.py
+++ b/aspenrill/net/listener.py
@@ -1,8 +1,13 @@
-"""A listening socket: one task a connection, never more than its share of descriptors."""
+"""A listening socket: one task a connection, never more than its share of descriptors.
+
+Where its share is used up, a new connection takes the place of a quiet one: first of one that has said
+nothing yet, then of the one that has been quiet longest. What is open on a connection keeps it.
+"""
 from __future__ import annotations
 
 import errno
 import socket
+import time
 from collections.abc import Callable
 
 from .conn import Connection
@@ -10,6 +15,9 @@
 
 BACKLOG = 512
 BREATH = 0.05  # seconds until a listener that had no descriptor left tries again
+MUTE_FOR = 0.1  # seconds after which a connection that has said nothing may have to go
+REST_FOR = 4.5  # seconds after which a quiet one goes before any fresh one: usual clients close theirs sooner
+AT_ONCE = 16  # connections accepted before others have their turn
 
 
 class Listener:
@@ -24,7 +32,7 @@
         self.sock.bind(address)
         self.sock.listen(BACKLOG)
         self.address = self.sock.getsockname()
-        self.connections: set[Connection] = set()
+        self.connections: dict[Connection, None] = {}
         self.open = True
         hub.spawn(self._accept, name=f"{name} listener")
 
@@ -36,8 +44,9 @@
             self.sock.close()
 
     def _accept(self) -> None:
+        accepted = 0
         while self.open:
-            if len(self.connections) >= self.most:
+            if len(self.connections) >= self.most and not self._make_room():
                 self.hub.sleep(BREATH)
                 continue
             try:
@@ -52,11 +61,36 @@
                 if why.errno not in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
                     raise
                 self.hub.log(f"{self.name}: {why.strerror}; accepting again shortly")
+                self._make_room()
                 self.hub.sleep(BREATH)
                 continue
             conn = Connection(self.hub, sock)
-            self.connections.add(conn)
+            self.connections[conn] = None
             self.hub.spawn(self._serve, conn, name=f"{self.name} connection")
+            accepted += 1
+            if accepted % AT_ONCE == 0:
+                self.hub.give_way()
+
+    def _make_room(self) -> bool:
+        """Close the connection that is missed least; False where something is open on each."""
+        now, best = time.monotonic(), None
+        for conn in self.connections:
+            if conn.busy:
+                continue
+            age = now - conn.used
+            rank = int(age <= REST_FOR) * 2 + 1 if conn.spoke else int(age <= MUTE_FOR) * 2
+            if best is None or (rank, -age) < best[0]:
+                if conn.ended() is None:
+                    continue  # a message lies there
+                best = (rank, -age), conn
+        if best is None:
+            return False
+        self._forget(best[1])
+        return True
+
+    def _forget(self, conn: Connection) -> None:
+        self.connections.pop(conn, None)
+        conn.close()
 
     def _serve(self, conn: Connection) -> None:
         try:
@@ -64,5 +98,4 @@
         except (Closed, TimedOut):
             pass
         finally:
-            self.connections.discard(conn)
-            conn.close()
+            self._forget(conn)
--- a/tests/test_both.py
+++ b/tests/test_both.py
@@ -8,6 +8,8 @@
 from standins import ROWS, SETTINGS, Act, Reply, World
 
 from aspenrill import api
+from aspenrill.net.conn import connect
+from aspenrill.net.hub import Closed
 
 PROTOCOLS = pytest.mark.parametrize("protocol", ["thrift", "tds"])
 WIDE = [(str(i), "x" * 40, "end") for i in range(700)]  # several pages or packets, under 48,000 bytes
@@ -276,3 +278,46 @@
         assert [client.read(5).kind for client in clients] == ["served"] * 6
         assert world.engines[0].most <= 2 and world.node.pools.count <= 2
     world.run(play)
+
+
+@PROTOCOLS
+def test_quiet_connections_give_way_to_new_ones(protocol):
+    # clients that ask once and stay took every place: nobody else was accepted any more
+    world = World(protocol, 1)
+
+    def play():
+        listener = world.node.fronts[0][1]
+        listener.most = 6
+        world.engines[0].act = lambda s: Act(after=1.0 if s == "slow" else 0)
+        first = world.client()
+        first.send("slow")
+        for _ in range(20):
+            assert world.client().ask("select 1").kind == "served"
+        assert len(listener.connections) <= 6
+        assert first.read(5).kind == "served"  # something was open on it
+    world.run(play)
+
+
+@PROTOCOLS
+def test_mute_connections_neither_shut_others_out_nor_stay(protocol, monkeypatch):
+    # connections by the hundred that say nothing, or half a message, filled the share of descriptors
+    monkeypatch.setattr("aspenrill.fronts.thrift.FIRST_FOR", 0.5)
+    monkeypatch.setattr("aspenrill.fronts.tds.LOGIN_FOR", 0.5)
+    world = World(protocol, 1)
+
+    def play():
+        listener = world.node.fronts[0][1]
+        listener.most = 6
+        usual = world.client()
+        assert usual.ask("select 1").kind == "served"
+        mute = [connect(world.hub, world.address, time.monotonic() + 2) for _ in range(40)]
+        for conn in mute[::2]:
+            conn.write(b"\x12\0", time.monotonic() + 2)
+        assert usual.ask("select 1").kind == "served"
+        assert world.client().ask("select 1").kind == "served"
+        until = time.monotonic() + 3
+        for conn in mute:
+            with pytest.raises(Closed):
+                conn.fill(until)
+        assert len(listener.connections) <= 2
+    world.run(play)
--- a/tests/test_fronts.py
+++ b/tests/test_fronts.py
@@ -80,6 +80,43 @@
     world.run(play)
 
 
+def test_a_flood_on_one_connection_gives_way_to_others(monkeypatch):
+    # its task read on for as long as bytes had come, and nobody else had a turn
+    world, count, read = World("thrift", 1), [0], thrift.read_message
+
+    def counted(frame):
+        count[0] += 1
+        return read(frame)
+
+    monkeypatch.setattr("aspenrill.fronts.thrift.thrift.read_message", counted)
+    bad = thrift.frame(thrift.ONEWAY, "forget", 0, thrift.field(thrift.I32, 1, b"\0\0\0\7"))
+
+    def play():
+        flood, usual = connect(world.hub, world.address, time.monotonic() + 2), world.client()
+        flood.sock.setblocking(True)
+        flood.sock.settimeout(0.05)
+        try:
+            flood.sock.sendall(bad * 20000)  # what the system takes lies there at once
+        except TimeoutError:
+            pass
+        assert usual.ask("select 1").kind == "served" and count[0] < 1000
+        world.until(lambda: count[0] > 3000)
+    world.run(play)
+
+
+def test_messages_without_use_end_a_connection():
+    # a client that sends the same again the moment it is turned away kept the program busy
+    world = World("thrift", 1)
+
+    def play():
+        client = world.client()
+        with pytest.raises(Closed):
+            for _ in range(100):
+                assert client.ask("select 1", kind="nope").kind == "failed"
+        assert world.client().ask("select 1").kind == "served" and len(world.engines[0].began) == 1
+    world.run(play)
+
+
 def test_is_well_until_it_leaves():
     world = World("thrift", 1)
 
