A spoilt answer is asked for again from its engine; extra bytes end a connection

Checked: the engine gives a good end again, so nothing has to run anew. At fault: HttpEngines._hear ended an attempt at the first answer that cannot be read; SILENT 1.5 s of a connection of no further use; pages asked on a connection with bytes left over; 1xx and trailers without bound; any text taken for a page. A pool takes connections that have rested 20 ms first.

--- a/aspenrill/core/books.py
+++ b/aspenrill/core/books.py
@@ -103,6 +103,7 @@
     began: float = field(default_factory=time.monotonic)
     asked: float | None = None  # when the engine was last asked; None: no byte has gone out
     heard: float = 0.0  # when it last said anything
+    spoilt: int = 0  # answers that could not be read
     state: Any = None  # what its protocol keeps of it
 
     @property
--- a/aspenrill/engines/http.py
+++ b/aspenrill/engines/http.py
@@ -14,14 +14,17 @@
 from .base import Engines, Over
 from .pool import Pools
 
-SILENT = 1.5  # seconds without a word on one call, after which the engine is asked anew on another connection
+SILENT = 1.5  # seconds for a request to be written
+HUSH = 0.8  # seconds without an answer, due after 0.25, until it is asked for anew on another connection
+SPOILT = 3  # answers of an attempt that cannot be read, after which it has failed
+MOST_AHEAD = 8  # 1xx answers before the one that counts, and lines behind the last chunk
 DEAF = 2.2  # seconds without a word at all, after which the attempt is given up
 UNASKED = 2.05  # seconds after which an engine has dropped a query that nobody asks for
 PROBE_FOR = 1.0
 PAUSE, PAUSE_LEAST, PAUSE_MOST = 0.5, 0.06, 1.0  # part of the time left that passes unasked, and its bounds
 PAUSE_LOAD = 0.1  # the most for a load: others wait for its end
 DELETE_FOR = 0.6
-MOST_PAGE, MOST_RESULT = 6000, 48000
+MOST_RESULT = 48000
 NOTES = {"frac": NoteKind.PROGRESS, "missing": NoteKind.SPILLS, "parked": NoteKind.WAITS}
 
 
@@ -96,6 +99,14 @@
         raise Over(Outcome.OK, result=result, work=None if work is None else work / 1000, memory_mb=memory,
                    report=meter(head.headers.get("x-meter"), self.settings.report_fields))
 
+    def _spoilt(self, attempt: Attempt, why: Malformed) -> None:
+        """Its answer cannot be read. The engine has it still, and is asked for it again."""
+        attempt.spoilt += 1
+        attempt.heard = time.monotonic()  # it was not silent
+        if attempt.spoilt > SPOILT:
+            raise Over(Outcome.ERROR) from None
+        raise Lost from why
+
     def _post(self, attempt: Attempt) -> bytes:
         call = attempt.call
         headers = {"X-Ticket": call.id, "X-Queue": self.classes[call.cls],
@@ -123,6 +134,9 @@
         return f"{peer.address[0]}:{peer.address[1]}"
 
     def _ask(self, attempt: Attempt, conn: Connection, method: str, path: str) -> None:
+        if not conn.quiet():  # more came than belongs to the last answer, or an end
+            self.pools.drop(conn)
+            raise Lost
         try:
             conn.write(http1.request(method, path, self._host(attempt.peer), {}),
                        min(attempt.until, time.monotonic() + SILENT))
@@ -135,9 +149,11 @@
             self.pools.drop(conn)
             raise
 
-    def _hear(self, attempt: Attempt, conn: Connection) -> tuple[http1.Head, bytes]:
+    def _hear(self, attempt: Attempt, conn: Connection, page: int = 0) -> tuple[http1.Head, bytes]:
         try:
-            head, body = self._response(conn, min(attempt.until, time.monotonic() + SILENT))
+            head, body = self._response(conn, min(attempt.until, time.monotonic() + HUSH))
+            if head.status == 200:
+                http1.check_page(head, body, page)
         except (Closed, TimedOut, Malformed) as why:
             if isinstance(why, TimedOut):
                 self._leave(attempt.peer, conn)
@@ -145,7 +161,7 @@
                 self.pools.drop(conn)
             left(attempt.until)
             if isinstance(why, Malformed):
-                raise Over(Outcome.ERROR) from None
+                self._spoilt(attempt, why)
             raise Lost from None
         except BaseException:
             self._leave(attempt.peer, conn)
@@ -173,11 +189,13 @@
 
     def _response(self, conn: Connection, until: float) -> tuple[http1.Head, bytes]:
         conn.begun = False
-        while True:
+        for _ in range(MOST_AHEAD):
             head = http1.response_head(conn.read_until(b"\r\n\r\n", until))
             conn.begun = True
             if head.status >= 200:
                 break
+        else:
+            raise Malformed("1xx without end")
         found = head, self._body(conn, head, until)
         conn.begun = False
         return found
@@ -190,10 +208,12 @@
                 if size > http1.MOST_BODY:
                     raise Malformed("body too long")
                 parts.append(conn.read(count, until))
-                conn.read_until(b"\r\n", until)
-            while conn.read_until(b"\r\n", until) != b"\r\n":
-                pass
-            return b"".join(parts)
+                if conn.read(2, until) != b"\r\n":
+                    raise Malformed("a chunk longer than it says")
+            for _ in range(MOST_AHEAD):
+                if conn.read_until(b"\r\n", until) == b"\r\n":
+                    return b"".join(parts)
+            raise Malformed("trailers without end")
         length = head.length
         if length is None:
             raise Malformed("no length")
@@ -246,34 +266,24 @@
 
     def _pages(self, attempt: Attempt, conn: Connection, head: http1.Head, body: bytes) -> Result:
         """All pages, whole and in order, or the attempt has failed."""
-        pages = number(head.headers, "x-batches")
-        count = 1 if pages is None else int(pages)
-        if not 1 <= count <= MOST_RESULT:
-            self.pools.drop(conn)
-            raise Over(Outcome.ERROR)
-        parts, size = [self._page(body)], len(body)
+        count, parts, size = http1.pages(head), [body], len(body)
         while len(parts) < count:
             try:
                 if conn is None:
                     conn = self._again(attempt)
                 self._ask(attempt, conn, "GET", f"/data/{attempt.call.id}/{len(parts)}")
-                head, body = self._hear(attempt, conn)
+                head, body = self._hear(attempt, conn, len(parts))
             except Lost:
                 conn = None
                 continue
             size += len(body)
-            if head.status != 200 or head.headers.get("x-batch") != str(len(parts)) or size > MOST_RESULT:
+            if head.status != 200 or size > MOST_RESULT:
                 self._done(attempt, conn, head)
                 raise Over(Outcome.ERROR)
-            parts.append(self._page(body))
+            parts.append(body)
         self._done(attempt, conn, head)
         return Result("text", b"".join(parts))
 
-    def _page(self, body: bytes) -> bytes:
-        if len(body) > MOST_PAGE or body and not body.endswith(b"\n"):
-            raise Over(Outcome.ERROR)
-        return body
-
     def _stop(self, attempt: Attempt) -> None:
         """Told so, or dead, or unasked for long enough."""
         for fresh in (False, True):
--- a/aspenrill/engines/pool.py
+++ b/aspenrill/engines/pool.py
@@ -13,6 +13,7 @@
 from ..wire import Malformed
 
 MOST_DIALING = 16  # connections to one engine that come up at a time
+SETTLE = 0.02  # seconds after an answer in which more than belongs to it may still come: others go first
 AFTER_FAILURE = 0.1  # seconds without another try after one that did not come up
 
 
@@ -32,7 +33,7 @@
         until = min(until, time.monotonic() + self.connect_for)
         while True:
             while peer.idle and not fresh:
-                conn = peer.idle.pop()
+                conn = peer.idle.pop(0 if time.monotonic() < peer.idle[-1].used + SETTLE else -1)
                 conn.rest.cancel()
                 del self.resting[conn]
                 if conn.quiet():
@@ -77,6 +78,7 @@
         if not peer.takes_work or not conn.open or len(conn.incoming) or self.waiting:
             self.drop(conn)
             return
+        conn.used = time.monotonic()
         peer.idle.append(conn)
         self._next(peer)
         self.resting[conn] = peer
--- a/aspenrill/wire/http1.py
+++ b/aspenrill/wire/http1.py
@@ -1,11 +1,14 @@
 """HTTP/1.1 as a client speaks it: request heads out, response heads in."""
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 
 from . import Malformed
 
 MOST_BODY = 65536
+MOST_PAGE, MOST_PAGES, COLUMNS = 6000, 1000, 3
+HEX = re.compile(rb"[0-9a-fA-F]{1,8}\Z")
 
 
 @dataclass(frozen=True)
@@ -33,7 +36,7 @@
         text = self.headers.get("content-length")
         if text is None:
             return None
-        if not text.isascii() or not text.isdigit() or int(text) > MOST_BODY:
+        if self.chunked or len(text) > 9 or not text.isascii() or not text.isdigit() or int(text) > MOST_BODY:
             raise Malformed(f"content-length {text[:40]!r}")
         return int(text)
 
@@ -74,13 +77,33 @@
     return Head(code, headers)
 
 
+def pages(head: Head) -> int:
+    """Number of pages that a good end announces."""
+    text = head.headers.get("x-batches", "")
+    if not text.isascii() or not text.isdigit() or len(text) > 9 or not 1 <= int(text) <= MOST_PAGES:
+        raise Malformed(f"x-batches {text[:40]!r}")
+    return int(text)
+
+
+def check_page(head: Head, body: bytes, number: int) -> None:
+    """Malformed where this can't be that page of a result: whole rows of three columns of text, in bounds."""
+    if number == 0:
+        pages(head)
+    if head.headers.get("x-batch", "0") != str(number):
+        raise Malformed(f"not page {number}")
+    try:
+        body.decode("utf-8")
+    except UnicodeDecodeError:
+        raise Malformed("a page that is not text") from None
+    if len(body) > MOST_PAGE or body and not body.endswith(b"\n"):
+        raise Malformed(f"a page of {len(body)} bytes that is not whole rows")
+    if any(row.count(b"\t") != COLUMNS - 1 for row in body.split(b"\n")[:-1]):
+        raise Malformed("a row with columns missing or over")
+
+
 def chunk_size(line: bytes) -> int:
     """Size of the chunk that a line announces."""
     text = line.split(b";")[0].strip()
-    try:
-        size = int(text, 16)
-    except ValueError:
-        raise Malformed(f"chunk size {line[:20]!r}") from None
-    if not 0 <= size <= MOST_BODY or not text.isalnum():
+    if not HEX.match(text) or int(text, 16) > MOST_BODY:
         raise Malformed(f"chunk size {line[:20]!r}")
-    return size
+    return int(text, 16)
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -4,7 +4,7 @@
 import time
 
 import pytest
-from standins import CLASSES, SETTINGS
+from standins import CLASSES, ROWS, SETTINGS, Act, Reply, World
 
 from aspenrill import api
 from aspenrill.core.books import Attempt, Call, Peer
@@ -98,3 +98,65 @@
         hub.spawn(take)
     hub.run()
     assert most[0] <= pool.MOST_DIALING and tries[0] <= 3 * pool.MOST_DIALING and pools.count == 0
+
+
+MANY = [(str(i), "x" * 40, "end") for i in range(200)]
+
+
+@pytest.mark.parametrize("spoil", [
+    lambda answer: b"\0\xff noise " * 20 + b"\r\n\r\n",
+    lambda answer: b"HTTP/1.1 200 X\r\nX-A: " + b"a" * 40000,
+    lambda answer: answer.replace(b"Content-Length: ", b"Content-Length: 3"),
+    lambda answer: answer.replace(b"Content-Length: ", b"Content-Length: 999999"),
+    lambda answer: answer[:len(answer) // 2], lambda answer: b"", lambda answer: answer[:-1] + b"\xff",
+    lambda answer: b"HTTP/1.1 100 X\r\n\r\n" * 50 + answer])
+@pytest.mark.parametrize("rows", [ROWS, MANY], ids=["one page", "pages"])
+def test_a_spoilt_answer_is_asked_for_again_and_never_passed_on(spoil, rows):
+    # the query has run, and its engine gives its end again: running it anew wasted that, or failed it
+    world = World("thrift", 1)
+
+    def play():
+        engine, count = world.engines[0], [0]
+        engine.act = lambda s: Act(rows=rows)
+        say = engine.say
+
+        def spoilt(conn, status, fields=None, body=b""):
+            count[0] += bool(body)
+            if not body or count[0] % 2 == 0:
+                return say(conn, status, fields, body)
+            written, write = [], conn.write
+            conn.write = lambda data, until: written.append(data)
+            say(conn, status, fields, body)
+            conn.write = write
+            conn.write(spoil(written[0]), time.monotonic() + 5)
+            world.hub.sleep(3)  # the connection stays open, and is of no further use
+
+        engine.say = spoilt
+        assert world.client("once").ask("select 1") == Reply("served", rows)
+        assert engine.statements == ["select 1"]
+    world.run(play)
+
+
+@pytest.mark.parametrize("more", [b"\0noise", b"again", b"HTTP/1.1 100 X\r\n\r\n"])
+def test_bytes_beyond_an_answer_end_its_connection_and_the_answer_stands(more):
+    # a second copy would be taken for the answer to the next call
+    world = World("thrift", 1)
+
+    def play():
+        engine = world.engines[0]
+        engine.act = lambda s: Act(rows=MANY if s == "many" else [(s, s, s)])
+        say = engine.say
+
+        def twice(conn, status, fields=None, body=b""):
+            written, write = [], conn.write
+            conn.write = lambda data, until: written.append(data)
+            say(conn, status, fields, body)
+            conn.write = write
+            conn.write(written[0] + (written[0] if more == b"again" else more), time.monotonic() + 5)
+
+        engine.say = twice
+        client = world.client()
+        assert client.ask("many") == Reply("served", MANY)
+        for word in "abc":
+            assert client.ask(word) == Reply("served", [(word, word, word)])
+    world.run(play)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -205,3 +205,38 @@
             model = model[step:]
         assert ring.peek(32) == model and ring.free == 32 - len(model)
         assert bytes(ring.data()) == model[:len(ring.data())] and (bool(ring.data()) == bool(model))
+
+
+PAGE = {"x-batches": "2"}
+
+
+@pytest.mark.parametrize("fields, body, number", [
+    ({}, b"a\tb\tc\n", 0), ({"x-batches": "0"}, b"", 0), ({"x-batches": "9" * 12}, b"", 0),
+    (PAGE, b"a\tb\tc", 0), (PAGE, b"a\tb\n", 0), (PAGE, b"\xff\tb\tc\n", 0),
+    (PAGE, b"a\tb\tc\n" * 1001, 0),
+    (PAGE | {"x-batch": "1"}, b"a\tb\tc\n", 0), ({"x-batch": "2"}, b"a\tb\tc\n", 1), ({}, b"a\tb\tc\n", 1)])
+def test_what_cannot_be_a_page_is_never_passed_on(fields, body, number):
+    with pytest.raises(Malformed):
+        http1.check_page(http1.Head(200, fields), body, number)
+
+
+@pytest.mark.parametrize("fields, body, number", [
+    (PAGE, b"a\tb\tc\nd\te\t\n", 0), ({"x-batches": "1"}, b"", 0), ({"x-batch": "1"}, b"a\tb\tc\n", 1)])
+def test_whole_rows_are_a_page(fields, body, number):
+    http1.check_page(http1.Head(200, fields), body, number)
+
+
+@pytest.mark.parametrize("line", [
+    b"0x10\r\n", b"1_0\r\n", b"+5\r\n", b"-1\r\n", b"\r\n", b"fffffff\r\n", b"5" * 5000])
+def test_chunk_sizes_that_are_none(line):
+    with pytest.raises(Malformed):
+        http1.chunk_size(line)
+
+
+@pytest.mark.parametrize("fields", [
+    {"content-length": "3000000000"}, {"content-length": "9" * 5000}, {"content-length": "-1"},
+    {"content-length": "4", "transfer-encoding": "chunked"}])
+def test_lengths_that_cannot_be_used(fields):
+    # one that claims more than any answer holds must not be buffered
+    with pytest.raises(Malformed):
+        assert http1.Head(200, fields).length is None
