Errors and broken connections ask the engine; only three in a row put it out

Checked: logs; the errors were queries that no engine can use and spoilt answers, so health as believed was not what passed on the sockets.

--- a/aspenrill/control.py
+++ b/aspenrill/control.py
@@ -24,6 +24,7 @@
 AMPLE = 4.0  # times the estimate granted where only memory in use counts: nothing spills
 OVERDUE = 3.0  # times the expected latency, set against the fleet's, from which an attempt is overdue
 FULL_FOR = 1.0  # seconds that a refusal as full counts as pressure, and until what is held asks again
+STRIKES = 3  # errors and broken connections in a row that put an engine out; before, it is asked
 EJECT, EJECT_MOST = 1.0, 8.0  # seconds out, doubled until an answer comes
 MOST_OUT = 0.5  # share of the fleet that ejection may take: beyond, it is no engine's fault
 SAFETY = 0.6  # most of the cold budget used: engines differ in speed, and turns heap up by chance
@@ -485,7 +486,11 @@
 
     def _learn(self, query: Query, engine: Engine, end: api.AttemptEnded) -> None:
         learned, ask = self.classes[query.ask.cls], query.ask
-        if end.outcome in (Outcome.ERROR, Outcome.CONNECT_FAILED, Outcome.RESET):
+        if end.outcome in (Outcome.ERROR, Outcome.RESET) and self.set.may_probe:
+            engine.strikes += 1  # the query's fault, or one answer's, more often than the engine's
+            if engine.strikes >= STRIKES or not self._probe(engine):
+                self._eject(engine, end.outcome.value)
+        elif end.outcome in (Outcome.ERROR, Outcome.CONNECT_FAILED, Outcome.RESET):
             self._eject(engine, end.outcome.value)
         elif end.outcome is Outcome.TIMEOUT:
             self._probe(engine)  # answers may be lost on the way while the engine works
@@ -494,7 +499,7 @@
         if query.afresh and end.latency <= OVERDUE * query.expected * self.ordinary:
             learned.plans = min(PLANS, learned.plans + 2.0)  # the plan it was, not the query
         learned.plans = min(PLANS, learned.plans + REPLAN)
-        engine.penalty = 0.0
+        engine.penalty, engine.strikes = 0.0, 0
         engine.ejected_until *= not self.news  # its trial went well
         if end.report:
             self._hear(engine, end.report)
--- a/aspenrill/wire/http1.py
+++ b/aspenrill/wire/http1.py
@@ -7,7 +7,8 @@
 from . import Malformed
 
 MOST_BODY = 65536
-MOST_PAGE, MOST_PAGES, COLUMNS = 6000, 1000, 3
+MOST_PAGE, MOST_PAGES = 6000, 1000
+ROW, TEXT = b"\t\t\n", bytes(set(range(256)) - set(b"\t\n"))  # a row of three columns without its text
 HEX = re.compile(rb"[0-9a-fA-F]{1,8}\Z")
 
 
@@ -95,10 +96,10 @@
         body.decode("utf-8")
     except UnicodeDecodeError:
         raise Malformed("a page that is not text") from None
-    if len(body) > MOST_PAGE or body and not body.endswith(b"\n"):
+    shape = body.translate(None, TEXT)
+    whole = not body or body.endswith(b"\n")
+    if len(body) > MOST_PAGE or not whole or shape != ROW * (len(shape) // len(ROW)):
         raise Malformed(f"a page of {len(body)} bytes that is not whole rows")
-    if any(row.count(b"\t") != COLUMNS - 1 for row in body.split(b"\n")[:-1]):
-        raise Malformed("a row with columns missing or over")
 
 
 def chunk_size(line: bytes) -> int:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -184,6 +184,21 @@
     assert all(e.healthy for e in g.fleet.engines.values())
 
 
+def test_an_error_puts_no_engine_out_that_answers(monkeypatch):
+    # queries that no engine can use, and spoilt answers, put out one healthy engine after another
+    monkeypatch.setattr("aspenrill.control.MOST_OUT", 1.0)
+    g = gateway("a", may_probe=True)
+    for at, outcome in enumerate((Outcome.ERROR, Outcome.RESET, Outcome.OK, Outcome.ERROR, Outcome.ERROR)):
+        fill(g, 1)
+        actions = g.handle(0.2, AttemptEnded("r0", 0, "a", outcome, 0.1, outcome is Outcome.OK))
+        assert g.fleet.engines["a"].healthy and (outcome is Outcome.OK or api.Probe("a") in actions), at
+        g.handle(0.2, api.ClientGone("r0"))
+        g.out.clear(), g.fleet.engines["a"].out.clear()
+    fill(g, 1)
+    g.handle(0.2, AttemptEnded("r0", 0, "a", Outcome.ERROR, 0.1, False))
+    assert not g.fleet.engines["a"].healthy  # three in a row are no chance
+
+
 def test_a_failed_engine_is_out_at_once_and_a_full_one_is_pressed():
     for outcome, healthy in ((Outcome.ERROR, False), (Outcome.RESET, False), (Outcome.FULL, True)):
         g = gateway("a", "b", "c")
