Short queries get twice the limit under pressure, not three times; a failed connect asks too

At fault: SHORT_ROOM 3.0 let three gateways put 5 threads a core on an engine under pressure; a failed connect ejected at once, STRIKES 3 was chance where connections are reset.

--- a/aspenrill/control.py
+++ b/aspenrill/control.py
@@ -15,7 +15,7 @@
 FEWEST = 10  # entries before r means anything: tm stretches back until it holds so many
 BESIDE = 8.0  # size (work for worth) that passes beside a gap on rung 0; the kept share squared of it above
 TOP, DEEP, RENEW = 5, 9, 5.0  # highest rung, and where a jam feeds itself by a told load; d in waits
-SHORT_ROOM = 3.0  # times the limit for short ones, which take their cores from longer work by priority
+SHORT_ROOM = 2.0  # times the limit for short ones, which take their cores from longer work by priority
 THREADS_A_CORE = 1.7  # limit under pressure: near where engines with many threads begin to lose work
 PRESSURE, PRESSED = 2.0, 1.1  # slowdown of the fleet, and load a core as an engine reports it, that press
 STEP = 0.1  # weight of a new answer in a running mean
@@ -24,7 +24,7 @@
 AMPLE = 4.0  # times the estimate granted where only memory in use counts: nothing spills
 OVERDUE = 3.0  # times the expected latency, set against the fleet's, from which an attempt is overdue
 FULL_FOR = 1.0  # seconds that a refusal as full counts as pressure, and until what is held asks again
-STRIKES = 3  # errors and broken connections in a row that put an engine out; before, it is asked
+STRIKES = 5  # errors and broken connections in a row that put an engine out; before, it is asked
 EJECT, EJECT_MOST = 1.0, 8.0  # seconds out, doubled until an answer comes
 MOST_OUT = 0.5  # share of the fleet that ejection may take: beyond, it is no engine's fault
 SAFETY = 0.6  # most of the cold budget used: engines differ in speed, and turns heap up by chance
@@ -486,8 +486,8 @@
 
     def _learn(self, query: Query, engine: Engine, end: api.AttemptEnded) -> None:
         learned, ask = self.classes[query.ask.cls], query.ask
-        if end.outcome in (Outcome.ERROR, Outcome.RESET) and self.set.may_probe:
-            engine.strikes += 1  # the query's fault, or one answer's, more often than the engine's
+        if end.outcome in (Outcome.ERROR, Outcome.CONNECT_FAILED, Outcome.RESET) and self.set.may_probe:
+            engine.strikes += 1  # the query's fault, or one connection's, more often than the engine's
             if engine.strikes >= STRIKES or not self._probe(engine):
                 self._eject(engine, end.outcome.value)
         elif end.outcome in (Outcome.ERROR, Outcome.CONNECT_FAILED, Outcome.RESET):
--- a/aspenrill/engines/http.py
+++ b/aspenrill/engines/http.py
@@ -302,7 +302,12 @@
     def _one(self, peer: Peer, method: str, path: str, until: float, body: bytes = b"") -> http1.Head:
         """A call that does no harm if made twice: again on a new connection where one breaks or is spoilt."""
         for again in range(TRIES):
-            conn = self.pools.take(peer, until, fresh=again > 0)
+            try:
+                conn = self.pools.take(peer, until, fresh=again > 0)
+            except Refused as why:
+                if why.broken and again < TRIES - 1:
+                    continue
+                raise
             try:
                 conn.write(http1.request(method, path, self._host(peer), {}, body), until)
                 head = self._response(conn, until)[0]
--- a/aspenrill/engines/pool.py
+++ b/aspenrill/engines/pool.py
@@ -56,7 +56,7 @@
             conn = connect(self.hub, peer.address, until)
         except BaseException as why:
             self._left()
-            if isinstance(why, Refused) and str(why) != "ECONNREFUSED" and not why.scarce:
+            if isinstance(why, Refused) and str(why) != "ECONNREFUSED" and not (why.scarce or why.broken):
                 peer.failed_at = time.monotonic()
             raise
         finally:
--- a/aspenrill/net/conn.py
+++ b/aspenrill/net/conn.py
@@ -173,7 +173,8 @@
             hub.wait_fd(conn.fd, WRITE, left(until))
             code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if code:
-            raise Refused(errno.errorcode.get(code, str(code)), scarce=code == errno.EADDRNOTAVAIL)
+            raise Refused(errno.errorcode.get(code, str(code)), scarce=code == errno.EADDRNOTAVAIL,
+                          broken=code == errno.ECONNRESET)
     except (TimedOut, Closed):
         conn.close()
         raise Refused("no connection in time") from None
