--- a/aspenrill/api.py
+++ b/aspenrill/api.py
@@ -99,7 +99,6 @@
     may_tell: bool = False
     tell_price: float = 0.0
     shortage_pages: bool = False
-    come_back_hints: bool = False
     longest_come_back: float = 0.0
     grants_heeded: bool = False
     largest_grant: float = 1.0
--- a/aspenrill/application.py
+++ b/aspenrill/application.py
@@ -275,7 +275,7 @@
         settings = api.Settings(
             classes=tuple(c[1] for c in classes), cores_by_kind=more.pop("cores"), memory_by_kind=tuple(
                 m or float("inf") for m in more.pop("memory")), may_cancel=True, may_probe=True,
-            come_back_hints=True, longest_come_back=2.0, tenant_quotas=tuple(t[1] for t in tenants),
+            longest_come_back=2.0, tenant_quotas=tuple(t[1] for t in tenants),
             **settings_more)
     return Application(name, enabled, listen, answer_bytes, names, tenant_names, settings, tuple(logins),
                        domain=domain, instance_host=host, memory_mb=memory, sockets=sockets,
--- a/aspenrill/control.py
+++ b/aspenrill/control.py
@@ -446,7 +446,8 @@
         elif not gone:
             shared = spec.effect is Effect.KEYED and spec.dedup_scope == "all"
             harmless = query.ran_at is None or spec.effect is Effect.SAFE or shared
-            hint = self.set.longest_come_back if self.set.come_back_hints and self.rung else 0.0
+            hint = max(WATCH, self.next_entry - self.now if self.rung else 0.0)
+            hint = min(hint, self.set.longest_come_back)
             self.actions.append(api.Refuse(ask.request, hint) if harmless else api.Fail(ask.request))
         if query.engine is None:  # else its key waits for what is out
             self.lines.leave(query)
--- a/aspenrill/fronts/thrift.py
+++ b/aspenrill/fronts/thrift.py
@@ -15,6 +15,7 @@
 
 MOST_FRAME = 64 * 1024
 MOST_OPEN = 32  # requests open on a connection, as the protocol has it
+HOLDOFF = 1000  # milliseconds that a client with more than that should stay away
 MOST_BAD = 16  # messages that cannot be used, after which a connection is closed
 FIRST_FOR = 2.0  # seconds for the first whole frame; later a connection may be quiet for good
 FRAME_FOR = 2.0  # seconds for the rest of a frame once it has begun
@@ -113,7 +114,7 @@
             self._say(thrift.broken(name, seqid, thrift.UNKNOWN_METHOD, "no such method"))
         elif len(self.open) >= MOST_OPEN:
             self.bad += 1
-            self._say(thrift.thrown(name, seqid, 1, {}))
+            self._say(thrift.thrown(name, seqid, 1, {"holdoff": str(HOLDOFF)}))
         else:
             self._serve(seqid, args, arrived)
 
--- a/aspenrill/settings.py
+++ b/aspenrill/settings.py
@@ -45,7 +45,7 @@
         may_cancel=bool(limits.get("cancel")),
         may_probe=bool(limits.get("may_probe")), may_tell=bool(limits.get("peers")),
         tell_price=(info.get("prices") or {}).get("peer", 0.0),
-        shortage_pages=family.get("on_shortage") == "page", come_back_hints=bool(limits.get("retry_after")),
+        shortage_pages=family.get("on_shortage") == "page",
         longest_come_back=sec(limits, "max_retry_after_ns"), grants_heeded=bool(family.get("grants_count")),
         largest_grant=family.get("grant_cap", 1.0), priorities_heeded=bool(family.get("lanes_count")),
         costs_told=bool(family.get("says_cost")), ask_for_list=info.get("discovery") == "ask",
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -184,6 +184,17 @@
     assert all(e.healthy for e in g.fleet.engines.values())
 
 
+@pytest.mark.parametrize("longest, rung, told", [(2.0, 0, 0.25), (2.0, 1, 0.9), (0.5, 1, 0.5), (0.0, 1, 0.0)])
+def test_a_refusal_comes_at_once_and_says_when_to_come_back(longest, rung, told):
+    # clients that are told nothing ask again the moment they are turned away
+    g = gateway(longest_come_back=longest)  # no engine is there
+    g.rung, g.next_entry = rung, 1.0  # when the gap lets in the next
+    refused = []
+    for at in range(20):  # first come first held, and those beyond are answered in the same breath
+        refused += answers(g.handle(0.1, api.Request(f"r{at}", 0, 5.0)))
+    assert refused and all(a.come_back == pytest.approx(told) for a in refused)
+
+
 def test_an_error_puts_no_engine_out_that_answers(monkeypatch):
     # queries that no engine can use, and spoilt answers, put out one healthy engine after another
     monkeypatch.setattr("aspenrill.control.MOST_OUT", 1.0)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -197,7 +197,7 @@
     setup = api.Settings(
         classes=classes(scope, order), cores_by_kind=(4, 8), gateways=gateways, may_cancel=cancel,
         may_tell=not cancel, tell_price=0.01, shortage_pages=ask, memory_by_kind=(4096.0, 8192.0),
-        costs_told=told, grants_heeded=told, priorities_heeded=told, come_back_hints=True,
+        costs_told=told, grants_heeded=told, priorities_heeded=told,
         longest_come_back=1.0, start_capacity=0.3, cold_for=10.0, fall_multiple=3.0, fall_window=2.0,
         key_rest=0.3 if order else None, retry_free=2 if budget else None,
         retry_ratio=0.05 if budget else None, retry_span=5.0, ask_for_list=ask, may_probe=probe,
