--- a/aspenrill/engines/http.py
+++ b/aspenrill/engines/http.py
@@ -93,7 +93,7 @@
             break
         if head.status != 200:
             attempt.asked = None  # its end is written: there is nothing to give up
-            self._done(attempt, conn, head)
+            self._back(attempt.peer, conn, head)
             raise Over(self._refusal(head))
         result = self._pages(attempt, conn, head, body)
         work, memory = number(head.headers, "x-spent"), number(head.headers, "x-wanted")
@@ -183,10 +183,7 @@
         except (Closed, TimedOut, Malformed):
             self.pools.drop(conn)
             return
-        if head.stays:
-            self.pools.give(peer, conn)
-        else:
-            self.pools.drop(conn)
+        self._back(peer, conn, head)
 
     def _response(self, conn: Connection, until: float) -> tuple[http1.Head, bytes]:
         conn.begun = False
@@ -220,9 +217,10 @@
             raise Malformed("no length")
         return conn.read(length, until)
 
-    def _done(self, attempt: Attempt, conn: Connection, head: http1.Head) -> None:
+    def _back(self, peer: Peer, conn: Connection, head: http1.Head) -> None:
+        """After a whole answer."""
         if head.stays:
-            self.pools.give(attempt.peer, conn)
+            self.pools.give(peer, conn)
         else:
             self.pools.drop(conn)
 
@@ -249,7 +247,7 @@
         pause = min(most, PAUSE * (now - since) * (1 - share) / (share - before), attempt.until - now)
         if pause < PAUSE_LEAST:
             return conn
-        self._done(attempt, conn, head)
+        self._back(attempt.peer, conn, head)
         self.hub.sleep(pause)
         try:
             return self.pools.take(attempt.peer, attempt.until)
@@ -279,10 +277,10 @@
                 continue
             size += len(body)
             if head.status != 200 or size > MOST_RESULT:
-                self._done(attempt, conn, head)
+                self._back(attempt.peer, conn, head)
                 raise Over(Outcome.ERROR)
             parts.append(body)
-        self._done(attempt, conn, head)
+        self._back(attempt.peer, conn, head)
         return Result("text", b"".join(parts))
 
     def _stop(self, attempt: Attempt) -> None:
@@ -319,10 +317,7 @@
             except BaseException:
                 self.pools.drop(conn)
                 raise
-            if head.stays:
-                self.pools.give(peer, conn)
-            else:
-                self.pools.drop(conn)
+            self._back(peer, conn, head)
             return head
 
     def _rank(self, attempt: Attempt, priority: int) -> None:
