Sources on sockets: hard cases per protocol, tiers and weights, IPv6; benchmarks.sources

Need: the merged list must hold where servers, records and engines fail together.

Change: tests against scripted name servers and the engines' own logs (drains, silence, code 2 against none, moved ids, flaps, three front ends at a cold engine, SIGHUP); benchmarks.sources; engine stand-ins tell their true work.

--- a/aspenrill/tool/sources.py
+++ b/aspenrill/tool/sources.py
@@ -16,10 +16,12 @@
 LOOK = 0.05  # seconds between two looks whether all have spoken
 
 
-def gather(app: application.Application, seconds: float) -> tuple[dict[str, Any], list[str]]:
+def gather(app: application.Application, seconds: float, hub: Hub | None = None,
+           ) -> tuple[dict[str, Any], list[str]]:
     """Ask all sources once, for so long at most: what came of it as plain data, and what was logged."""
     lines: list[str] = []
-    hub, clock = Hub(lines.append), Clock()
+    hub, clock = hub or Hub(), Clock()
+    hub.log = lines.append
     gathering = Gathering(hub, clock, app.sources, app.kinds, lambda event: None)
     found: dict[str, Any] = {}
 
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, as commands: python -m benchmarks.NAME. They need the development requirements."""
--- a/standins/world.py
+++ b/standins/world.py
@@ -50,7 +50,7 @@
 class Engine:
     """An engine: notes what began and what was given up, and how much runs at once."""
 
-    def __init__(self, hub: Hub, name: str) -> None:
+    def __init__(self, hub: Hub, name: str, host: str = "127.0.0.1") -> None:
         self.hub, self.name = hub, name
         self.act: Callable[[str], Act] = lambda statement: Act()
         self.began: list[tuple[float, str]] = []
@@ -58,7 +58,7 @@
         self.ended: list[str] = []
         self.running = self.most = 0
         self.others: list[Engine] = [self]
-        self.listener = Listener(hub, ("127.0.0.1", 0), self.serve, 500, name)
+        self.listener = Listener(hub, (host, 0), self.serve, 500, name)
 
     def enter(self, statement: str) -> None:
         """A query begins here; how many run at all engines together is kept."""
@@ -86,8 +86,8 @@
 class HttpEngine(Engine):
     """Speaks the platform's HTTP calls."""
 
-    def __init__(self, hub: Hub, name: str) -> None:
-        super().__init__(hub, name)
+    def __init__(self, hub: Hub, name: str, host: str = "127.0.0.1") -> None:
+        super().__init__(hub, name, host)
         self.queries: dict[str, tuple[str, float, Act]] = {}
 
     def serve(self, conn: Connection) -> None:
@@ -136,7 +136,8 @@
             return self.say(conn, 500)
         self.leave(statement, self.ended)
         pages = self.pages(act)
-        self.say(conn, 200, {"X-Batches": str(len(pages)), "X-Spent": "5", "X-Wanted": "8"}, pages[0])
+        spent = str(round(act.after * 1000) or 5)
+        self.say(conn, 200, {"X-Batches": str(len(pages)), "X-Spent": spent, "X-Wanted": "8"}, pages[0])
 
     def pages(self, act: Act) -> list[bytes]:
         pages = [b""]
@@ -288,11 +289,13 @@
 class World:
     """The program and its stand-ins in one hub; `run` plays a test as a task of it."""
 
-    def __init__(self, protocol: str, engines: int = 2, settings: api.Settings = SETTINGS) -> None:
+    def __init__(self, protocol: str, engines: int = 2, settings: api.Settings = SETTINGS,
+                 listed: bool = True, hub: Hub | None = None, host: str = "127.0.0.1") -> None:
         self.protocol, self.logged = protocol, []
-        self.hub = Hub(self.logged.append)
+        self.hub = hub or Hub(self.logged.append)
         self.hub.lag = lambda: 0.0  # a stall of the machine must not refuse what a test asks
-        self.engines = [(HttpEngine if protocol == "thrift" else TdsEngine)(self.hub, f"s-{i:08x}")
+        self.engines = [(HttpEngine if protocol == "thrift" else TdsEngine)(
+            self.hub, f"s-{i:08x}", host)
                         for i in range(engines)]
         for engine in self.engines:
             engine.others = self.engines
@@ -311,7 +314,8 @@
             service = tds_front.Service(self.hub, maps, self.node.post, "test")
         self.address = self.node.listen(("127.0.0.1", 0), service, protocol).address
         self.number = 0
-        self.tell([self.member(e) for e in self.engines], whole=True)
+        if listed:
+            self.tell([self.member(e) for e in self.engines], whole=True)
 
     def member(self, engine: Engine, state: api.EngineState = api.EngineState.LIVE,
                started: float = 0.0) -> Member:
