--- a/aspenrill/engines/http.py
+++ b/aspenrill/engines/http.py
@@ -7,6 +7,7 @@
 
 from ..api import NoteKind, Outcome, Settings
 from ..core.books import Attempt, Noted, Peer, Probed, Result
+from ..net.address import show
 from ..net.conn import Connection, Refused, left
 from ..net.hub import Closed, Hub, TimedOut
 from ..settings import FIELDS
@@ -132,7 +133,7 @@
                 self.hub.sleep(0.02)
 
     def _host(self, peer: Peer) -> str:
-        return f"{peer.address[0]}:{peer.address[1]}"
+        return show(peer.address)
 
     def _ask(self, attempt: Attempt, conn: Connection, method: str, path: str) -> None:
         if not conn.quiet():  # more came than belongs to the last answer, or an end
