The module's rule on being behind is known at the socket; hard cases of the ordinary path

Need: refusing while the core is full cost as much as a request up to the module; the short ways need tests that break them.

--- a/aspenrill/control.py
+++ b/aspenrill/control.py
@@ -41,6 +41,12 @@
 TICK, WATCH = 0.05, 0.25  # seconds between looks at what is held, at what is out; later means an own stall
 
 
+def shed_after(settings: api.Settings) -> tuple[float, ...]:
+    """By class: how many seconds behind the gateway's own program may be and still take on new requests."""
+    mean = max(1e-3, sum(c.worth for c in settings.classes) / len(settings.classes))
+    return tuple(STALL * (1 + c.worth / mean) for c in settings.classes)
+
+
 class Gateway:
     def __init__(self, settings: api.Settings, seed: int, now: float) -> None:
         settings.validate()
@@ -54,7 +60,7 @@
         self.rung, self.base_gap, self.next_entry, self.gap_until, self.look_at = 0, 0.0, 0.0, 0.0, now
         self.thin, self.news, self.paging = False, False, False  # own threads say too little; others tell
         self.ordinary, self.mean_load, self.mean_at = 1.0, 0.0, now  # the fleet's slowdown and told load
-        self.mean_worth = max(1e-3, sum(c.worth for c in settings.classes) / len(settings.classes))
+        self.shed_after = shed_after(settings)
         self.mix, self.met = Mix(self.classes), {}  # engines that own answers told of, and when
         self.readers_wait = any(c.waits_for_loads for c in settings.classes)
         self.freed = None  # the kind that has ended last
@@ -227,7 +233,7 @@
         self.bytes = min(self.bytes + earned, 2 * NEWS_COST)
         if learned.spec.in_order and self.set.key_rest is not None:
             self.lines.join(query)
-        if ask.waited > STALL * (1 + learned.spec.worth / self.mean_worth):
+        if ask.waited > self.shed_after[ask.cls]:
             return self._end(query)  # this gateway falls behind: what it takes on now would be late
         size = self._size(query)
         if self.rung and (self.news or size > BESIDE * LADDER ** (-2 * self.rung)):
--- a/aspenrill/fronts/thrift.py
+++ b/aspenrill/fronts/thrift.py
@@ -29,7 +29,11 @@
     """What the connections of this front share."""
 
     def __init__(self, hub: Hub, classes: list[str], keyed: list[bool], tenants: list[str],
-                 post: Callable[[Any], None], well: Callable[[], bool]) -> None:
+                 post: Callable[[Any], None], well: Callable[[], bool],
+                 shed_after: tuple[float, ...] | None = None, come_back: float = 0.0) -> None:
+        self.shed_after = shed_after  # by class: how far behind the module takes no more of it
+        self.shed_least = min(shed_after, default=0.0) if shed_after else float("inf")
+        self.shed = {"holdoff": str(round(come_back * 1000))} if come_back > 0 else {}
         self.hub, self.classes, self.keyed, self.tenants = hub, classes, keyed, tenants
         self.post, self.well = post, well
         self.class_of = {name.encode(): at for at, name in enumerate(classes)}
@@ -85,6 +89,9 @@
         usual = thrift.read_serve(data, start, end)
         if usual is not None and usual[0] == self.last + 1 and len(self.open) < MOST_OPEN:
             self.last = usual[0]
+            if self._behind(usual[1]):
+                self._say(thrift.thrown("serve", usual[0], 1, self.service.shed))
+                return
             self._serve(usual[0], usual[1], usual[2], arrived)
             return
         try:
@@ -93,6 +100,15 @@
             raise Closed(str(why)) from None
         self._take(message, arrived)
 
+    def _behind(self, fields: dict[bytes, bytes]) -> bool:
+        """Whether the module would refuse it, as far behind as this program is: told before it costs more."""
+        service = self.service
+        lag = service.hub.lag()
+        if lag <= service.shed_least:
+            return False
+        cls = service.class_of.get(fields.get(b"kind", b""))
+        return cls is not None and lag > service.shed_after[cls]
+
     def _take(self, message: thrift.Message, arrived: float) -> None:
         name, seqid, args = message.name, message.seqid, message.args
         if message.kind == thrift.ONEWAY and name == "forget":
--- a/aspenrill/net/conn.py
+++ b/aspenrill/net/conn.py
@@ -11,7 +11,7 @@
 from .ring import Ring
 
 RING = 16384
-LEAST_READ = 2048  # bytes asked for in one read; four times as many after one that was filled
+LEAST_READ = 2048  # bytes asked for in one read; more after one that was filled, until few come
 MOST_PARTS = 512  # that one vectored write takes, well under IOV_MAX
 AGAIN = (BlockingIOError, InterruptedError)
 
@@ -93,7 +93,10 @@
                 raise Closed(str(why)) from None
             if count > 0:
                 self.dry = count < asked
-                self.grab = min(4 * asked, inbox.capacity) if count == asked else LEAST_READ
+                if count == asked:
+                    self.grab = min(4 * self.grab, inbox.capacity)
+                elif count <= LEAST_READ and self.grab > LEAST_READ:
+                    self.grab = LEAST_READ
                 return
             if count != -1:
                 raise Closed("more than fits" if count else "end of stream")
--- a/aspenrill/node.py
+++ b/aspenrill/node.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from . import api
+from .control import WATCH, shed_after
 from .core.books import Closing
 from .core.owner import Owner
 from .engines.base import Engines
@@ -192,7 +193,8 @@
         hear(news)
     keyed = [c.effect is api.Effect.KEYED for c in config.settings.classes]
     node.listen(config.listen, thrift.Service(hub, config.classes, keyed, config.tenants, node.post,
-                                              lambda: node.owner.well), "thrift")
+                                              lambda: node.owner.well, shed_after(config.settings),
+                                              min(WATCH, config.settings.longest_come_back)), "thrift")
     _extra_front(hub, node, tds_file, (config.classes, keyed, config.tenants))
     bulletin = Bulletin(hub, config.bulletin, config.last,
                         node.post if gathering is None else gathering.bulletin)
--- a/aspenrill/state.py
+++ b/aspenrill/state.py
@@ -146,6 +146,9 @@
 class Query:
     """One request that this gateway took."""
 
+    __slots__ = ("kind", "ask", "came", "deadline", "attempts", "sent_at", "expected", "engine", "ended",
+                 "spilled", "suspect", "afresh", "asked", "asked_at", "ran_at", "ran_on", "in_line")
+
     def __init__(self, ask: api.Request, now: float, is_load: bool = False) -> None:
         self.kind = (ask.cls, ask.data_set if is_load else None)  # finds room where another of it does
         self.ask, self.came, self.deadline = ask, now, now + ask.patience
--- a/standins/world.py
+++ b/standins/world.py
@@ -35,6 +35,7 @@
     """What an engine does with a statement: after so long it ends like this."""
 
     after: float = 0.0
+    spoilt: bool = False  # its first telling is not whole rows
     end: str = "ok"  # ok, error, full, reset
     rows: list = field(default_factory=lambda: ROWS)
 
@@ -86,6 +87,8 @@
 class HttpEngine(Engine):
     """Speaks the platform's HTTP calls."""
 
+    page = 6000  # bytes of a page
+
     def __init__(self, hub: Hub, name: str, host: str = "127.0.0.1") -> None:
         super().__init__(hub, name, host)
         self.queries: dict[str, tuple[str, float, Act]] = {}
@@ -136,6 +139,9 @@
             return self.say(conn, 500)
         self.leave(statement, self.ended)
         pages = self.pages(act)
+        if act.spoilt:
+            act.spoilt = False
+            return self.say(conn, 200, {"X-Batches": "1"}, b"half a row\tand no more")
         spent = str(round(act.after * 1000) or 5)
         self.say(conn, 200, {"X-Batches": str(len(pages)), "X-Spent": spent, "X-Wanted": "8"}, pages[0])
 
@@ -143,7 +149,7 @@
         pages = [b""]
         for row in act.rows:
             line = ("\t".join(row) + "\n").encode()
-            if len(pages[-1]) + len(line) > 6000:
+            if len(pages[-1]) + len(line) > self.page:
                 pages.append(b"")
             pages[-1] += line
         return pages
