--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 PY = $(VENV)/bin/python
 
-.PHONY: build test lint run check
+.PHONY: build test lint run check budget
 
 build:
 	test -d $(VENV) || python3 -m venv $(VENV)
@@ -11,6 +11,10 @@
 test:
 	$(PY) -m pytest -q
 
+# counts per request against benchmarks/budget.toml: fails where one is more than a tenth above
+budget:
+	$(PY) -m benchmarks.budget
+
 lint:
 	$(VENV)/bin/ruff check .
 
