--- a/aspenrill/core/owner.py
+++ b/aspenrill/core/owner.py
@@ -89,10 +89,13 @@
             return
         self.open[call.id] = call
         patience = call.deadline - time.monotonic()  # what waiting here has left of it
-        call.overtime = self.hub.timers.at(call.deadline + OVERTIME, self.queue.put, books.Expired(call))
+        call.overtime = self.hub.timers.at(call.deadline + OVERTIME, self._overtime, call)
         self._tell(api.Request(call.id, call.cls, max(0.0, patience), call.tenant,
                                data_set=call.data_set, waited=self.hub.lag()))
 
+    def _overtime(self, call: Call) -> None:
+        self.queue.put(books.Expired(call))
+
     def _on_ended(self, end: books.Ended) -> None:
         attempt = end.attempt
         call, outcome = attempt.call, end.outcome
--- a/aspenrill/engines/http.py
+++ b/aspenrill/engines/http.py
@@ -40,14 +40,15 @@
         return None
     told = {}
     for part in text.split(";"):
-        name, _, value = part.strip().partition(":")
-        try:
-            told[FIELDS.get(name, name)] = float(value)
-        except ValueError:
-            continue
-    if not any(name in told for name in fields):
-        return None
-    return tuple(told.get(name, 0.0) for name in fields)
+        at = part.find(":")
+        name = part[:at].strip()
+        name = FIELDS.get(name, name)
+        if at >= 0 and name in fields:
+            try:
+                told[name] = float(part[at + 1:])
+            except ValueError:
+                continue
+    return tuple([told.get(name, 0.0) for name in fields]) if told else None
 
 
 def number(headers: dict[str, str], name: str) -> float | None:
--- a/aspenrill/wire/http1.py
+++ b/aspenrill/wire/http1.py
@@ -102,7 +102,9 @@
             raise Malformed(f"header {line[:40]!r}")
         raw = line[:at]
         name = _names.get(raw) or _name(raw)
-        value = line[at + 1:].strip()
+        value = line[at + 2:] if line[at + 1:at + 2] == " " else line[at + 1:]
+        if value[:1].isspace() or value[-1:].isspace():
+            value = value.strip()
         if name == "content-length" and headers.get(name, value) != value:
             raise Malformed("two lengths")
         headers[name] = value
