One way to play a scene, one to hand bytes to the system

Need: the same lines stood in tests, stand-ins and benchmarks, and twice in the connection.

Change: standins/scene.py serves all of them; Connection._pass sends one part or many.

--- a/aspenrill/net/conn.py
+++ b/aspenrill/net/conn.py
@@ -4,6 +4,8 @@
 import errno
 import socket
 import time
+from collections.abc import Callable
+from typing import Any
 
 from .address import family_of
 from .hub import READ, WRITE, Closed, Hub, TimedOut
@@ -207,33 +209,25 @@
         at = 0
         while at < len(parts):
             some = parts[at:at + MOST_PARTS] if len(parts) > MOST_PARTS else parts
-            count = self._send(some[0]) if len(some) == 1 else self._send_parts(some)
+            count = self._send(some[0]) if len(some) == 1 else self._pass(self.sock.sendmsg, some)
             if count < sum(map(len, some)):
                 return _beyond(parts[at:], count)
             at += len(some)
         return b""
 
-    def _send_parts(self, parts: list[bytes]) -> int:
-        if not self.open:
-            raise Closed("closed here")
-        try:
-            count = self.sock.sendmsg(parts)
-        except AGAIN:
-            return 0
-        except OSError as why:
-            raise Closed(str(why)) from None
-        self.written += count
-        return count
-
     def offer(self, data: bytes) -> int:
         """Pass on what the system takes at once, if nothing waits before it; how much that was."""
         return 0 if len(self.outgoing) else self._send(data)
 
     def _send(self, data: bytes | memoryview) -> int:
+        return self._pass(self.sock.send, data)
+
+    def _pass(self, call: Callable[[Any], int], data: Any) -> int:
+        """Hand it to the system; how many bytes it took, 0 where it takes none just now."""
         if not self.open:
             raise Closed("closed here")
         try:
-            count = self.sock.send(data)
+            count = call(data)
         except AGAIN:
             return 0
         except OSError as why:
--- a/benchmarks/sources.py
+++ b/benchmarks/sources.py
@@ -26,6 +26,7 @@
 from aspenrill.resolver.lookup import Patience
 from aspenrill.state import Fleet
 from standins.nameserver import Act, NameServer
+from standins.scene import play
 from standins.world import World
 
 SERVICE = "_data._tcp.bench.example."
@@ -38,23 +39,6 @@
     return f"{statistics.median(scaled):.3g} {unit} ({min(scaled):.3g} to {max(scaled):.3g})"
 
 
-def played(hub: Hub, scene: Callable[[], None]) -> None:
-    """Run a scene as a task, to its end."""
-    failure: list[BaseException] = []
-
-    def run() -> None:
-        try:
-            scene()
-        except BaseException as why:
-            failure.append(why)
-        hub.stop()
-
-    hub.spawn(run)
-    hub.run()
-    if failure:
-        raise failure[0]
-
-
 def sources_of(server: NameServer, rules: Rules = Rules(), **more) -> config.Sources:  # noqa: B008
     """One SRV source at a stand-in."""
     resolver = config.ResolverSpec("main", (server.address,), more.pop("patience", Patience()), Lifetimes())
@@ -101,7 +85,7 @@
                 client.ask("select 1")
             last.append(max(0.0, other.began[-1][0] - withdrawn))
 
-    played(world.hub, scene)
+    play(world.hub, scene)
     yield "announced to its first request", spread(first, "s")
     yield "withdrawn to its last request", spread(last, "s")
 
@@ -199,7 +183,7 @@
         found.append(max(seconds.count(s) for s in set(seconds)))
 
     found: list[float] = []
-    played(hub, scene)
+    play(hub, scene)
     floor = 3 * (targets + 1) * 60 / ttl
     yield f"all {targets:,} engines known to 3 front ends after", f"{found[0]:.2f} s"
     yield f"questions a minute, records that live {ttl} s", (
@@ -239,7 +223,7 @@
         world.until(lambda: len(world.node.owner.peers) == 3, 60)
         found.append(f"{time.monotonic() - began:.1f} s")
 
-    played(world.hub, scene)
+    play(world.hub, scene)
     assert gathering.membership
     yield from zip((f"requests in {seconds:.0f} s without an answer", "fewest engines listed meanwhile",
                     "questions put meanwhile", "a new engine known after its end"), found, strict=True)
--- a/standins/world.py
+++ b/standins/world.py
@@ -18,6 +18,8 @@
 from aspenrill.node import Node
 from aspenrill.wire import tds, thrift
 
+from . import scene as scenes
+
 CLASSES = ["lookup", "booking", "once", "usage-report"]
 SPECS = (
     api.QueryClass(aim=1.0, patience=5.0, effect=api.Effect.SAFE),
@@ -343,21 +345,14 @@
 
     def run(self, play: Callable[[], None]) -> None:
         """Play it to its end; its failure is the test's."""
-        failure: list[BaseException] = []
-
-        def scene() -> None:
-            try:
-                play()
-            except BaseException as why:
-                failure.append(why)
-            self.hub.stop()
+        try:
+            scenes.play(self.hub, play)
+        finally:
+            self._close()
+        assert not [text for text in self.logged if text.startswith("error")], self.logged
 
-        self.hub.spawn(scene)
-        self.hub.run()
+    def _close(self) -> None:
         for listener in [self.node.fronts[0][1], *(e.listener for e in self.engines)]:
             listener.close()
             for conn in list(listener.connections):
                 conn.close()
-        if failure:
-            raise failure[0]
-        assert not [text for text in self.logged if text.startswith("error")], self.logged
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -10,13 +10,13 @@
 import pytest
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
-from test_rosters import play
 
 from aspenrill.control import shed_after
 from aspenrill.net.conn import Connection
 from aspenrill.net.hub import Closed, Hub
 from aspenrill.net.inbox import Inbox
 from aspenrill.wire import Malformed, sql, thrift
+from standins.scene import play
 from standins.world import ROWS, SETTINGS, Act, Reply, World
 
 ROOMY = replace(SETTINGS, cores_by_kind=(64,))  # nothing is held for want of room
--- a/tests/test_resolver.py
+++ b/tests/test_resolver.py
@@ -10,7 +10,6 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from test_rosters import play
 
 from aspenrill.net.hub import Hub
 from aspenrill.resolver.cache import Cache, Lifetimes, negative_ttl
@@ -20,6 +19,7 @@
 from aspenrill.wire import Malformed
 from aspenrill.wire import dns as wire
 from standins.nameserver import Act, NameServer
+from standins.scene import play
 
 N = wire.name_of
 NAME = N("_tds._tcp.x.example")
--- a/tests/test_rosters.py
+++ b/tests/test_rosters.py
@@ -13,22 +13,7 @@
 from aspenrill.roster import bulletin as follower
 from aspenrill.roster.dnssd import properties
 from aspenrill.wire import bulletin
-
-
-def play(hub: Hub, scene) -> None:
-    failure = []
-
-    def run():
-        try:
-            scene()
-        except BaseException as why:
-            failure.append(why)
-        hub.stop()
-
-    hub.spawn(run)
-    hub.run()
-    if failure:
-        raise failure[0]
+from standins.scene import play
 
 
 def until(hub: Hub, true, within: float = 8.0) -> None:
--- a/tests/test_sources.py
+++ b/tests/test_sources.py
@@ -25,6 +25,7 @@
 from aspenrill.tool.sources import gather, print_report
 from aspenrill.wire import dns
 from standins.nameserver import Act, NameServer
+from standins.scene import play
 from standins.world import ROWS, SETTINGS, World
 from standins.world import Act as Work
 
@@ -399,20 +400,8 @@
         table.write_text("enabled = true\n")
         node.reload()
         assert any("configuration not taken" in line and "source" in line for line in lines)
-        hub.stop()
-
-    failure = []
-
-    def guarded():
-        try:
-            scene()
-        except BaseException as why:
-            failure.append(why)
-            hub.stop()
-    hub.spawn(guarded)
-    hub.run()
-    if failure:
-        raise failure[0]
+
+    play(hub, scene)
     table.write_text(good.replace('type = "bulletin"', 'type = "list"'))
     with pytest.raises(ConfigError, match=r"sources.toml: source\[0\].engine"):
         platform(Hub(), {"NODE_CONFIG": str(path)}, tmp_path / "none.toml", table)
