Answers that wait for the end of a round go out before their connection ends

Cause: joint writes wait for the end of a round, and a connection that ended in it (16 bad messages) or gave its place to another lost what had been answered.

Change: a connection is busy until its answers have gone out, and they go out before it ends; header lines are checked in one place again, also those that a class's requests begin with; a field of the membership that nobody read is gone.

Measured: both new tests fail without the change and pass with it.

--- a/aspenrill/fronts/thrift.py
+++ b/aspenrill/fronts/thrift.py
@@ -72,6 +72,8 @@
                     self.service.hub.give_way()  # one client's flood is not to starve the others
                 self._frame(None)
         finally:
+            if self.fresh:
+                self._flush()  # what has been answered goes out before the end
             self.conn.close()
             for call in self.open.values():
                 self.service.post(Left(call))
@@ -210,11 +212,15 @@
             self.answers.append(b"".join(parts))
             return
         if not self.fresh:
+            self.conn.busy += 1  # it must not give way to another before this has gone out
             self.service.hub.soon(self._flush)
         self.fresh += parts
 
     def _flush(self) -> None:
         parts, self.fresh = self.fresh, []
+        if not parts:
+            return
+        self.conn.busy -= 1
         if not self.conn.open:
             return
         try:
--- a/aspenrill/membership/rule.py
+++ b/aspenrill/membership/rule.py
@@ -73,7 +73,6 @@
         self.failing: str | None = None
         self.doubted: set[Address] = set()  # missing from the last list, until a second look
         self.doubted_at = 0.0
-        self.asked = 0.0  # when what the last list rests on was learned
 
     def note(self, address: Address, member: Member | None) -> None:
         """Its word on an address; None: it names none there."""
@@ -168,7 +167,7 @@
         new = self._places(source, members)
         missing = [address for address in source.said if address not in new]
         withdrawn = self._confirmed(now, source, missing, asked)
-        self._heard(now, source, asked)
+        self._heard(now, source)
         moved = [a for a, m in new.items() if a in source.said and source.said[a].engine != m.engine]
         for address in [*withdrawn, *(moved if source.spec.names_ids else ())]:
             self._say(now, source, address, None)
@@ -182,7 +181,7 @@
         source = self.sources.get(name)
         if source is None:
             return
-        self._heard(now, source, now)
+        self._heard(now, source)
         for member in members:
             old = source.where.get(member.engine)
             if old is not None and (old != member.address or member.state is GONE):
@@ -245,10 +244,10 @@
 
     # ---- one source's list ----------------------------------------------------------------------------
 
-    def _heard(self, now: float, source: Source, asked: float) -> None:
+    def _heard(self, now: float, source: Source) -> None:
         if source.failing is not None:
             self.notes.append(f"source {source.spec.name} answers again")
-        source.heard_at, source.failing, source.asked = now, None, asked
+        source.heard_at, source.failing = now, None
 
     def _spoken(self, now: float, source: Source) -> None:
         source.first = False
--- a/aspenrill/wire/http1.py
+++ b/aspenrill/wire/http1.py
@@ -43,13 +43,19 @@
         return int(text)
 
 
-def request(method: str, path: str, host: str, headers: dict[str, str], body: bytes = b"") -> bytes:
-    """A whole request."""
+def _start(method: str, path: str, host: str, headers: dict[str, str]) -> str:
+    """The first lines of a request; Malformed where a header would begin another line."""
     text = f"{method} {path} HTTP/1.1\r\nHost: {host}\r\n"
     for name, value in headers.items():
         if "\r" in value or "\n" in value:
             raise Malformed(f"line break in {name}")
         text += f"{name}: {value}\r\n"
+    return text
+
+
+def request(method: str, path: str, host: str, headers: dict[str, str], body: bytes = b"") -> bytes:
+    """A whole request."""
+    text = _start(method, path, host, headers)
     if body or method in ("POST", "PUT"):
         text += f"Content-Length: {len(body)}\r\n"
     return f"{text}\r\n".encode() + body
@@ -57,8 +63,7 @@
 
 def post_head(path: str, host: str, headers: dict[str, str]) -> bytes:
     """How POSTs begin that have these headers in common; `post` goes on."""
-    return (f"POST {path} HTTP/1.1\r\nHost: {host}\r\n"
-            + "".join(f"{name}: {value}\r\n" for name, value in headers.items())).encode()
+    return _start("POST", path, host, headers).encode()
 
 
 def post(ticket: str, left_ms: int, priority: int, key: str | None, size: int) -> bytes:
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -308,6 +308,33 @@
     world.run(run)
 
 
+def test_what_has_been_answered_goes_out_before_the_connection_ends():
+    # answers wait for the end of a round: one that ends the connection in the same round must not lose them
+    world = World("thrift", 1)
+
+    def run():
+        client = world.client()
+        client.conn.write(b"".join(thrift.frame(thrift.CALL, "nobody", i, b"") for i in range(1, 17)),
+                          time.monotonic() + 5)
+        assert [reply.kind for reply in numbered(client, 16)] == ["broken"] * 16
+        with pytest.raises(Closed):
+            client.read(5)
+    world.run(run)
+
+
+def test_a_connection_keeps_its_place_until_its_answer_has_gone_out():
+    world = World("thrift", 1)
+
+    def run():
+        client = world.client()
+        assert client.ask("select 1").rows == ROWS
+        [conn] = world.node.fronts[0][1].connections
+        busy, soon = [], world.hub.soon
+        world.hub.soon = lambda call: (busy.append(conn.busy), soon(call))
+        assert client.ask("select 2").rows == ROWS and busy == [1] and conn.busy == 0
+    world.run(run)
+
+
 def test_what_the_module_would_refuse_for_being_behind_is_refused_before_it_costs_more():
     world = World("thrift", 1)
 
