Probes are earned by what the settings say they cost

Sends per engine were uneven by ten to one. At fault: control.py _ask_some asks two or three engines before every start once front ends outnumber engines, whatever that costs, and prefers the same two homes of a data set at every front end. Ruled out: CPU (0.16 of a core at most), descriptors, memory.

Change: a request earns PROBED / price probes, four at most; where that is under ASKED, starts ask nobody and choose by own threads as in a small fleet. What remains goes to engines in doubt.

--- a/aspenrill/api.py
+++ b/aspenrill/api.py
@@ -98,6 +98,7 @@
     may_probe: bool = False
     may_tell: bool = False
     tell_price: float = 0.0
+    probe_price: float = 0.0  # of the result, for one probe a request
     shortage_pages: bool = False
     longest_come_back: float = 0.0
     grants_heeded: bool = False
--- a/aspenrill/control.py
+++ b/aspenrill/control.py
@@ -38,6 +38,7 @@
 PLANS, REPLAN = 4.0, 0.002  # starts afresh that a class has to its credit, and what an answer adds
 STALL = 0.05  # seconds in the gateway's own hands from which work for little worth is refused at once
 PROBES = 4.0  # probes earned by each request: those at once, and one while it is held
+PROBED = 0.03  # most points of the result that probes may cost: dear ones are earned by several requests
 TICK, WATCH = 0.05, 0.25  # seconds between looks at what is held, at what is out; later means an own stall
 
 
@@ -65,6 +66,7 @@
         self.readers_wait = any(c.waits_for_loads for c in settings.classes)
         self.freed = None  # the kind that has ended last
         self.timer_at, self.list_retry, self.back_at = math.inf, math.inf, now
+        self.earned = min(PROBES, PROBED / max(1e-9, settings.probe_price))  # probes, by each request
         self.probes, self.bytes = PROBES, 2 * NEWS_COST * self.random.random()  # earned by requests
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
@@ -122,8 +124,10 @@
             engine.cold_until = started + self.set.cold_for if started and self.set.fall_window else 0.0
         self.cold = [e for e in self.live if self.now < e.cold_until]
         self.ejected = [e for e in self.live if not e.healthy]
-        self.thin = (self.set.may_probe or self.set.may_tell) and self.set.gateways > len(self.live)
-        self.news = self.thin and not self.set.may_probe  # and gateways tell each other of them
+        asks = self.set.may_probe and self.earned >= ASKED  # probes are cheap enough for every request
+        few = self.set.gateways > len(self.live)
+        self.thin = few and (asks or self.set.may_tell and not self.set.may_probe)
+        self.news = self.thin and not asks  # and gateways tell each other of them
         self.paging = self.news and self.set.shortage_pages  # a jam feeds itself
 
     def _eject(self, engine: Engine, why: str, told: bool = False) -> None:
@@ -246,7 +250,7 @@
         if self.news and self._tt(query) < 0 and learned.latency:
             return self._end(query)  # it cannot be on time
         self.entered.append(self.now)
-        self.probes = min(self.probes + PROBES, 8 * PROBES)
+        self.probes = min(self.probes + self.earned, 8 * PROBES)
         if self.thin and ask.patience > 3 * TICK:
             self._ask_some(query)
         if (not query.asked or self.news) and self._start(query):
--- a/aspenrill/settings.py
+++ b/aspenrill/settings.py
@@ -19,6 +19,7 @@
     limits = info.get("limits") or {}
     rules = info.get("guarantees") or {}
     stats = info.get("stats") or {}
+    prices = info.get("prices") or {}
     raw = info.get("classes") or []
 
     def per_class(key: str, default: Any) -> list[Any]:
@@ -44,7 +45,7 @@
         me=info.get("me", 0), most_attempts=limits.get("most_tries", 1),
         may_cancel=bool(limits.get("cancel")),
         may_probe=bool(limits.get("may_probe")), may_tell=bool(limits.get("peers")),
-        tell_price=(info.get("prices") or {}).get("peer", 0.0),
+        tell_price=prices.get("peer", 0.0), probe_price=prices.get("probe", 0.0),
         shortage_pages=family.get("on_shortage") == "page",
         longest_come_back=sec(limits, "max_retry_after_ns"), grants_heeded=bool(family.get("grants_count")),
         largest_grant=family.get("grant_cap", 1.0), priorities_heeded=bool(family.get("lanes_count")),
