Where nobody tells of engines, caps and choices are of the whole fleet and by chance

At fault, control.py: _room gives every front end one query at every engine whatever its part is (a part of an engine is 0.3 threads); _start takes the lowest (own threads + its own) a core, the same order at every front end, and knows only of engines whose answers came; a cold engine's due turn competes with warm ones and is lost. Ruled out: probes (priced since), CPU, the gap alone (rung 5 came after the jam).

Change: a sparse gateway (more front ends than engines, nobody tells) holds its threads at all warm engines together to its part of their cores, 1.7 a core under pressure and 1.5 times that at ease; it chooses by chance weighed with cores, own threads and the engine's own slowdown, learned from answers, time-outs and the age of what is out; a due turn at a cold engine comes first.

--- a/aspenrill/control.py
+++ b/aspenrill/control.py
@@ -17,6 +17,8 @@
 TOP, DEEP, RENEW = 5, 9, 5.0  # highest rung, and where a jam feeds itself by a told load; d in waits
 SHORT_ROOM = 2.0  # times the limit for short ones, which take their cores from longer work by priority
 THREADS_A_CORE = 1.7  # limit under pressure: near where engines with many threads begin to lose work
+AT_EASE = 1.5  # times the limit without pressure, where it binds a gateway's threads at all engines together
+SLOW_STEP, SLOW_FOR = 0.4, 5.0  # weight of a new answer in an engine's own slowdown, in which it fades
 PRESSURE, PRESSED = 1.7, 1.1  # slowdown of the fleet, and load a core as an engine reports it, that press
 STEP = 0.1  # weight of a new answer in a running mean
 FLOOR_DOWN, FLOOR_UP = 0.005, 0.002  # steps of the running low quantile that stands for the work of a query
@@ -59,6 +61,7 @@
         self.lines, self.key_rest = Lines(), {}  # ordered keys: who came, in order; until when a key rests
         self.taken, self.extra, self.starts, self.entered, self.lost = (deque() for _ in range(5))  # times
         self.rung, self.base_gap, self.next_entry, self.gap_until, self.look_at = 0, 0.0, 0.0, 0.0, now
+        self.part, self.threads, self.sparse = 0.0, 0, False  # cores for this gateway, its threads out
         self.thin, self.news, self.paging = False, False, False  # own threads say too little; others tell
         self.ordinary, self.mean_load, self.mean_at = 1.0, 0.0, now  # the fleet's slowdown and told load
         self.shed_after = shed_after(settings)
@@ -127,9 +130,16 @@
         asks = self.set.may_probe and self.earned >= ASKED  # probes are cheap enough for every request
         few = self.set.gateways > len(self.live)
         self.thin = few and (asks or self.set.may_tell and not self.set.may_probe)
+        self.sparse = few and not self.thin  # nor does anyone tell of them: this gateway's part of all counts
         self.news = self.thin and not asks  # and gateways tell each other of them
+        self._measure()
         self.paging = self.news and self.set.shortage_pages  # a jam feeds itself
 
+    def _measure(self) -> None:
+        """This gateway's part of the cores that are warm; what is cold is dealt out in turns."""
+        self.cold = [e for e in self.cold if self.now < e.cold_until]
+        self.part = sum(e.cores for e in self.live if self.now >= e.cold_until) / self.set.gateways
+
     def _eject(self, engine: Engine, why: str, told: bool = False) -> None:
         """Out after one failure: in a large fleet there is seldom more evidence. A probe brings it back."""
         doubted, engine.failed_at = self.now <= engine.failed_at + NEWS_FOR, self.now
@@ -157,7 +167,7 @@
         self.ejected = [e for e in self.ejected if not e.healthy]
         for engine in [e for e in self.ejected if self.now >= e.ejected_until]:
             engine.ejected_until = self.now + (engine.penalty or EJECT) if self._probe(engine) else 0.0
-        self.cold = [e for e in self.cold if self.now < e.cold_until]
+        self._measure()
         if self.news and self.live and self.now > self.mean_at + 2 * WATCH:
             drained = (e.load * math.exp((e.heard_at - self.now) / self.mix.stay) for e in self.live)
             self.mean_load, self.mean_at = sum(min(JAMMED, x) for x in drained) / len(self.live), self.now
@@ -219,6 +229,13 @@
                 engine.load = max(engine.load, told["inflight"] * self.mix.memory / engine.memory)
         engine.heard_at = self.now
 
+    def _slow(self, engine: Engine) -> float:
+        """How slow it was to the last queries sent there, which fades to what the fleet is."""
+        fresh = math.exp((engine.slow_at - self.now) / SLOW_FOR)
+        slow = self.ordinary * (engine.slow / self.ordinary) ** fresh
+        return max([slow, *((self.now - max(q.sent_at, self.back_at)) / q.expected / OVERDUE * self.ordinary
+                            for q in engine.out.values())])  # those that are out tell before they end
+
     def _told_load(self, engine: Engine) -> float:
         """Its load as told: a high one drains no faster than its queries end, a low one rises to the mean."""
         left, fresh = (math.exp((engine.heard_at - self.now) / by) for by in (self.mix.stay, NEWS_FOR))
@@ -324,24 +341,32 @@
 
     def _room(self, engine: Engine, query: Query) -> bool:
         """The limit from cores and share, binding only under pressure; thin: none for longer work there."""
-        if self.classes[query.ask.cls].spec.is_load and engine.loads.get(query.ask.data_set):
+        spec = self.classes[query.ask.cls].spec
+        if spec.is_load and engine.loads.get(query.ask.data_set):
             return False  # it would stand still there, and what holds the group is slower for it
         full, short = self.now < engine.full_until, self._size(query) < 1
-        own = self.classes[query.ask.cls].spec.threads / (THREADS_A_CORE * engine.cores)
+        own = spec.threads / (THREADS_A_CORE * engine.cores)
         pressed = full or (engine.load + own > PRESSED and self.now < engine.heard_at + WINDOW)
         if self.thin:
             jammed = self._told_load(engine) + own > JAMMED if self.news else pressed and not short
             return not full and not jammed
+        if self.sparse:  # its share of one engine is less than a query: of all together it is some
+            limit = THREADS_A_CORE * self.part * (1 if self.ordinary > PRESSURE else AT_EASE)
+            limit *= SHORT_ROOM if self.set.priorities_heeded and short else 1
+            warm = self.threads - sum(e.threads for e in self.cold)
+            return not full and (self.now < engine.cold_until or not warm or warm + spec.threads <= limit)
         limit = THREADS_A_CORE * engine.cores  # beyond it own threads alone are pressure
         if pressed or self.ordinary > PRESSURE:
             limit /= self.set.gateways
         if self.set.priorities_heeded and short and not full:
             limit *= SHORT_ROOM
-        return not engine.threads or engine.threads + self.classes[query.ask.cls].spec.threads <= limit
+        return not engine.threads or engine.threads + spec.threads <= limit
 
     def _start(self, query: Query) -> bool:
         """Send to the engine with the fewest own threads a core among those that may take it."""
         some = self.live if len(self.live) <= LOOK else self.random.sample(self.live, LOOK)
+        if self.sparse:
+            some = some + self.random.sample(self.cold, min(LOOK, len(self.cold)))
         if self.thin:
             answered = [e for e in query.asked if e.heard_at >= query.asked_at or self.news]
             cold = self.random.sample(self.cold, min(LOOK, len(self.cold)))
@@ -358,6 +383,10 @@
             elif self.readers_wait and not self.thin:
                 place = self.fleet.order(query.ask.data_set).index(engine) / len(self.live)
                 load += APART * (1 - place if spec.is_load else place)
+            if self.sparse:  # all see the same cores: by chance, or all would choose the same engines
+                load = self.random.expovariate(able) * (1 + engine.threads) * self._slow(engine) ** 2
+                load *= self.now >= engine.cold_until  # a turn that is not used is lost
+                load += 1e3 * (engine.entry.engine in query.attempts)
             tie = self.random.random()  # the same tie must not fall to the same engine at all gateways
             if self.fleet.weighed:  # of equals, idle ones above all, each as often as its SRV weight says
                 tie = self.random.expovariate(able)
@@ -435,6 +464,7 @@
         limit *= slow and again and learned.spec.effect is not Effect.UNSAFE
         engine.out[ask.request] = self.out[ask.request] = query
         engine.threads += learned.spec.threads
+        self.threads += learned.spec.threads
         engine.count_load(ask.data_set, learned.spec.is_load)
         if self.now < engine.cold_until:
             self._cold_turn(engine, ask.cls, after=True)
@@ -472,6 +502,7 @@
         engine, spec = query.engine, self.classes[query.ask.cls].spec
         del engine.out[end.request]
         engine.threads -= spec.threads
+        self.threads -= spec.threads
         engine.count_load(query.ask.data_set, -spec.is_load)
         query.engine, self.freed = None, query.kind
         if not end.outcome.never_ran and query.ran_at is None:
@@ -509,6 +540,9 @@
             self._eject(engine, end.outcome.value)
         elif end.outcome is Outcome.TIMEOUT:
             self._probe(engine)  # answers may be lost on the way while the engine works
+        if end.outcome in (Outcome.TIMEOUT, Outcome.CANCELLED):  # it was as slow as that, or slower
+            slow = end.latency / query.expected * self.ordinary
+            engine.slow, engine.slow_at = max(self._slow(engine), slow), self.now
         if end.outcome is not Outcome.OK:
             return
         if query.afresh and end.latency <= OVERDUE * query.expected * self.ordinary:
@@ -533,6 +567,7 @@
         learned.work = busy + (1 - STEP) * ((learned.work or busy) - busy)
         slow = latency * threads / max(1e-3, busy)
         self.ordinary = max(1.0, blend(self.ordinary, max(0.1, slow), STEP))
+        engine.slow, engine.slow_at = blend(self._slow(engine), max(0.1, slow), SLOW_STEP), self.now
         short = query.spilled or (end.memory_mb or 0.0) > ask.memory_mb * learned.memory
         learned.step(GROW if short else SHRINK, HASTE)
 
--- a/aspenrill/state.py
+++ b/aspenrill/state.py
@@ -132,6 +132,7 @@
         """As it is when first told of, and after a restart."""
         self.told_at, self.cold_until = now, 0.0
         self.ejected_until, self.penalty, self.full_until = 0.0, 0.0, 0.0
+        self.slow, self.slow_at = 1.0, -math.inf  # slowdown of its last answers here, and when one came
         self.strikes = 0  # errors and broken connections since its last good answer
         self.failed_at = -math.inf  # news of a failure, not yet contradicted
         self.load, self.heard_at = 0.0, -math.inf  # as reported, and when it was told
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,11 +1,12 @@
 """Many front ends that share nothing: what is harmless from one must stay harmless from all together."""
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import replace
 
 from aspenrill import api
 from aspenrill.api import AttemptEnded, Effect, EngineEntry, EngineState, ListMode, ListUpdate, Outcome
-from aspenrill.control import PROBED, PROBES, Gateway
+from aspenrill.control import AT_EASE, PROBED, PROBES, THREADS_A_CORE, Gateway
 
 LOOKUP = api.QueryClass(aim=1.0, patience=5.0, effect=Effect.SAFE)
 REPORT = api.QueryClass(aim=2.0, patience=20.0, effect=Effect.SAFE, worth=8, threads=2, aim_stretch=2.5)
@@ -16,8 +17,9 @@
 def fleet(names=NAMES, count: int = GATEWAYS, **more) -> list[Gateway]:
     rules = dict(may_probe=True, probe_price=0.08, may_cancel=True, start_capacity=0.3, cold_for=12.0,
                  fall_multiple=2.5, fall_window=1.5, costs_told=True, report_fields=("util", "queue")) | more
-    told = ListUpdate(ListMode.REMEMBERED, tuple(EngineEntry(n, EngineState.LIVE) for n in names))
-    base = api.Settings(classes=(LOOKUP, REPORT), cores_by_kind=(8,), gateways=count, **rules)
+    told = ListUpdate(ListMode.REMEMBERED, tuple(
+        EngineEntry(n, EngineState.LIVE, kind=i % 2) for i, n in enumerate(names)))
+    base = api.Settings(classes=(LOOKUP, REPORT), cores_by_kind=(8, 16), gateways=count, **rules)
     made = [Gateway(replace(base, me=me), me, 0.0) for me in range(count)]
     for g in made:
         g.handle(0.0, told)
@@ -41,3 +43,62 @@
             at = g.queries[name].engine.entry.engine
             probes += len(of(api.Probe, g.handle(now + 0.05, AttemptEnded(name, 0, at, outcome, 0.05, True))))
     assert 0 < probes * 0.08 / asked <= PROBED + 0.08 * PROBES / 50
+
+
+def test_a_quiet_fleet_uses_engines_by_their_cores_and_not_the_largest_alone():
+    # each saw an idle engine of sixteen cores as better than one of eight: all chose the same half
+    sent, gateways = Counter(), fleet()
+    for step in range(20):
+        for g in gateways:
+            now, name = 0.1 + step * 0.1, f"{g.set.me}/{step}"
+            at = of(api.Send, g.handle(now, api.Request(name, 0, 5.0)))[0].engine
+            sent[at] += 1
+            g.handle(now + 0.05, AttemptEnded(name, 0, at, Outcome.OK, 0.05, True))
+    small = sum(sent[n] for n in NAMES[::2])
+    assert 0.25 < small / sum(sent.values()) < 0.42  # a third of the cores
+    assert max(sent[n] for n in NAMES[::2]) < 4 * min(sent[n] for n in NAMES[::2])
+
+
+def test_all_together_keep_to_the_thread_cap_when_nothing_comes_back():
+    gateways, kinds = fleet(), {n: (8, 16)[i % 2] for i, n in enumerate(NAMES)}
+    for step in range(60):
+        for g in gateways:
+            g.handle(0.1 + step * 0.01, api.Request(f"{g.set.me}/{step}", 1, 20.0))
+    threads = sum(e.threads for g in gateways for e in g.fleet.engines.values())
+    assert threads <= THREADS_A_CORE * AT_EASE * sum(kinds.values())
+    assert threads > sum(kinds.values())  # and leave no core idle
+
+
+def test_the_cap_counts_what_is_left_of_the_fleet_at_once():
+    # six in ten engines are gone: what is out elsewhere of each share must not all meet at the others
+    gateways, left = fleet(), NAMES[18:]
+    for g in gateways:
+        g.handle(0.1, ListUpdate(ListMode.CHANGES, tuple(
+            EngineEntry(n, EngineState.DRAINING, kind=i % 2) for i, n in enumerate(NAMES[:18]))))
+    for step in range(60):
+        for g in gateways:
+            g.handle(0.2 + step * 0.01, api.Request(f"{g.set.me}/{step}", 1, 20.0))
+    threads = sum(e.threads for g in gateways for e in g.fleet.engines.values())
+    assert threads <= THREADS_A_CORE * AT_EASE * 12 * len(left)
+
+
+def test_an_engine_that_answers_nothing_loses_its_work_before_anything_has_ended():
+    (g, *_), now, late = fleet(NAMES[:4], 5), 0.1, Counter()
+    for step in range(400):
+        now, name = now + 0.1, f"r{step}"
+        for sent in of(api.Send, g.handle(now, api.Request(name, 0, 60.0))):
+            late[sent.engine] += step > 200
+            if sent.engine != "e1":  # as large as e3
+                g.handle(now + 0.05, AttemptEnded(name, 0, sent.engine, Outcome.OK, 0.05, True, 0.05))
+    assert late["e1"] < late["e3"] / 10
+
+
+def test_a_turn_at_a_cold_engine_is_taken_when_it_is_due():
+    # what the turns deal out is lost where it is not used, while warm engines carry too much
+    for g in fleet():
+        g.handle(1.0, ListUpdate(ListMode.CHANGES, (EngineEntry("new", EngineState.LIVE, started=0.9),)))
+        g.fleet.engines["new"].turns = {0: 1.1, 1: 1.2}
+        assert [s.engine for s in of(api.Send, g.handle(1.15, api.Request("a", 0, 5.0)))] == ["new"]
+        assert [s.engine for s in of(api.Send, g.handle(1.16, api.Request("b", 0, 5.0)))] != ["new"]
+        assert [s.engine for s in of(api.Send, g.handle(1.17, api.Request("c", 1, 20.0)))] != ["new"]
+        assert [s.engine for s in of(api.Send, g.handle(1.25, api.Request("d", 1, 20.0)))] == ["new"]
