A refused connection alone is no proof that a query has ended; unasked ones get 2.6 s

At fault, engines/http.py: _again and _stop took ECONNREFUSED as proof that the process is gone, though a full table of connections refuses too while its queries run; _stop gave one DELETE and then waited 2.05 s from the last call's writing, while an engine counts its 2 s from that call's answer, up to 0.25 s later, or from when it read it. Which of them broke the rule has not been seen at work; after a time-out both let a second try run beside the first.

Change: only with a connection to that engine broken since it was last heard, and none left, a refusal proves it gone; a DELETE is tried again every 0.2 s until the query has been unasked for 2.6 s. Also: a class that must not run twice is no longer cancelled for looking like a bad plan (_on_note), which failed it.

Measured: the tests fail without each change.

--- a/aspenrill/control.py
+++ b/aspenrill/control.py
@@ -579,8 +579,8 @@
             left = (self.now - query.sent_at) * (1 - note.amount) / note.amount
             if left > OVERDUE * query.expected * self.ordinary and self._may_repeat(query, query.engine):
                 learned = self.classes[query.ask.cls]
-                if query.afresh or learned.plans < 1.0:
-                    return  # it is as long as this: another start would be, too
+                if query.afresh or learned.plans < 1.0 or learned.spec.effect is Effect.UNSAFE:
+                    return  # it is as long as this: another start would be, too, or must not be
                 query.afresh = True
                 learned.plans -= 1.0
                 self.actions.append(api.Cancel(note.request, note.attempt))  # a bad plan: start afresh
--- a/aspenrill/core/books.py
+++ b/aspenrill/core/books.py
@@ -84,6 +84,7 @@
     retired: bool = False  # replaced by another process or address
     dialing: int = 0  # connections that are coming up
     failed_at: float = -1e9  # when one last did not come up in time
+    broke_at: float = -1e9  # when it, or the way there, last ended a connection
     waiting: deque = field(default_factory=deque)  # tasks that wait for a connection of its
 
     @property
--- a/aspenrill/engines/base.py
+++ b/aspenrill/engines/base.py
@@ -106,10 +106,12 @@
             before = conn.written
             try:
                 conn.write_parts(request(), min(attempt.until, time.monotonic() + SILENT))
-            except (Closed, TimedOut):
+            except (Closed, TimedOut) as why:
                 self.pools.drop(conn)
                 if conn.written != before:
                     attempt.asked = attempt.heard = time.monotonic()
+                    if isinstance(why, Closed):
+                        attempt.peer.broke_at = attempt.heard
                     return None
                 broken += not conn.reused
                 if broken >= AFRESH:
--- a/aspenrill/engines/http.py
+++ b/aspenrill/engines/http.py
@@ -20,11 +20,12 @@
 SPOILT = 3  # answers of an attempt that cannot be read, after which it has failed
 MOST_AHEAD = 8  # 1xx answers before the one that counts, and lines behind the last chunk
 DEAF = 2.2  # seconds without a word at all, after which the attempt is given up
-UNASKED = 2.05  # seconds after which an engine has dropped a query that nobody asks for
+UNASKED = 2.6  # seconds after which an engine has dropped a query that nobody asks for: 2 s after it has
+# answered the last call, which it holds for 0.25 s, and may have read late
 PROBE_FOR = 1.0
 PAUSE, PAUSE_LEAST, PAUSE_MOST = 0.5, 0.06, 1.0  # part of the time left that passes unasked, and its bounds
 PAUSE_LOAD = 0.1  # the most for a load: others wait for its end
-DELETE_FOR = 0.6
+DELETE_FOR, DELETE_AGAIN = 0.6, 0.2  # seconds for a DELETE, and between two
 TRIES = 4  # connections for a call that may be made twice
 MOST_RESULT = 48000
 NOTES = {"frac": NoteKind.PROGRESS, "missing": NoteKind.SPILLS, "parked": NoteKind.WAITS}
@@ -133,23 +134,34 @@
             try:
                 return self.pools.take(attempt.peer, attempt.until, fresh=True)
             except Refused as why:
-                if str(why) == "ECONNREFUSED":
-                    attempt.asked = None  # the process is gone, and the query with it
+                if self._gone(attempt, why):
+                    attempt.asked = None  # and the query with it
                     raise Over(Outcome.RESET) from None
                 self.hub.sleep(0.02)
 
+    @staticmethod
+    def _gone(attempt: Attempt, why: Refused) -> bool:
+        """Whether its process is. A refusal alone may come of a full table of connections, beside which the
+        query goes on; of a process that has ended, all connections have broken too."""
+        peer = attempt.peer
+        return str(why) == "ECONNREFUSED" and peer.broke_at >= attempt.heard and not peer.idle
+
     def _host(self, peer: Peer) -> str:
         return show(peer.address)
 
     def _ask(self, attempt: Attempt, conn: Connection, method: str, path: str) -> None:
         if not conn.quiet():  # more came than belongs to the last answer, or an end
+            if conn.open and conn.ended():
+                attempt.peer.broke_at = time.monotonic()
             self.pools.drop(conn)
             raise Lost
         try:
             conn.write(http1.request(method, path, self._host(attempt.peer), {}),
                        min(attempt.until, time.monotonic() + SILENT))
             attempt.asked = time.monotonic()
-        except (Closed, TimedOut):
+        except (Closed, TimedOut) as why:
+            if isinstance(why, Closed):
+                attempt.peer.broke_at = time.monotonic()
             self.pools.drop(conn)
             left(attempt.until)
             raise Lost from None
@@ -166,6 +178,8 @@
             if isinstance(why, TimedOut):
                 self._leave(attempt.peer, conn)
             else:
+                if isinstance(why, Closed):
+                    attempt.peer.broke_at = time.monotonic()
                 self.pools.drop(conn)
             left(attempt.until)
             if isinstance(why, Malformed):
@@ -292,15 +306,20 @@
 
     def _stop(self, attempt: Attempt) -> None:
         """Told so, or dead, or unasked for long enough."""
-        try:
-            self._one(attempt.peer, "DELETE", f"/data/{attempt.call.id}", time.monotonic() + DELETE_FOR)
-            return
-        except Refused as why:
-            if str(why) == "ECONNREFUSED":
+        gone_at = attempt.asked + UNASKED
+        while True:
+            try:
+                self._one(attempt.peer, "DELETE", f"/data/{attempt.call.id}", time.monotonic() + DELETE_FOR)
                 return
-        except (Closed, TimedOut, Malformed):
-            pass
-        self.hub.sleep(attempt.asked + UNASKED - time.monotonic())
+            except Refused as why:
+                if self._gone(attempt, why):
+                    return
+            except (Closed, TimedOut, Malformed):
+                pass
+            wait = gone_at - time.monotonic()
+            if wait <= 0:
+                return
+            self.hub.sleep(min(wait, DELETE_AGAIN))
 
     # ---- single calls ---------------------------------------------------------------------------------
 
--- a/aspenrill/engines/pool.py
+++ b/aspenrill/engines/pool.py
@@ -87,7 +87,7 @@
         peer.idle.append(conn)
         self._next(peer)
         self.resting[conn] = peer
-        self.hub.watch(conn.fd, self._tired, peer, conn)
+        self.hub.watch(conn.fd, self._news, peer, conn)
         if not self._sweeping:
             self._sweeping = True
             self.hub.timers.after(self.idle_for, self._sweep)
@@ -103,6 +103,12 @@
         while peer.idle:
             self._tired(peer, peer.idle[-1])
 
+    def _news(self, peer: Peer, conn: Connection) -> None:
+        """An idle connection has ended, or brings what nobody asked for."""
+        if conn.ended():
+            peer.broke_at = time.monotonic()
+        self._tired(peer, conn)
+
     def _tired(self, peer: Peer, conn: Connection) -> None:
         self.hub.unidle(conn.fd)
         peer.idle.remove(conn)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -609,3 +609,13 @@
     assert sends(g.handle(0.1, api.Request("other", 1, 25.0, data_set=8)))
     after = sends(g.handle(0.2, AttemptEnded("r0", 0, sent[0][0].engine, Outcome.OK, 0.1, True)))
     assert [(s.request, s.engine) for s in after] == [("r2", sent[0][0].engine)]
+
+
+def test_what_must_not_run_twice_is_not_started_afresh():
+    # its cancel would be its end: failed, for looking longer than others of its class
+    once = api.QueryClass(aim=1.0, patience=60.0, effect=Effect.UNSAFE)
+    for spec, afresh in ((once, False), (LOOKUP, True)):
+        g = gateway("a", classes=(spec,), may_cancel=True)
+        g.handle(0.1, api.Request("r", 0, 60.0))
+        note = api.AttemptNote("r", 0, "a", api.NoteKind.PROGRESS, 0.01)
+        assert any(isinstance(a, api.Cancel) for a in g.handle(1.1, note)) is afresh
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -160,3 +160,31 @@
         for word in "abc":
             assert client.ask(word) == Reply("served", [(word, word, word)])
     world.run(play)
+
+
+@pytest.mark.parametrize("broke, least, most", [(False, 1.8, 6.0), (True, 0.0, 1.0)])
+def test_a_refused_connection_alone_does_not_prove_that_a_query_has_ended(monkeypatch, broke, least, most):
+    # an engine with no connection to spare runs on what it has: a second try ran beside the first
+    world = World("thrift", 1)
+
+    def play():
+        engine = world.engines[0]
+        engine.news = lambda conn, ident: world.hub.sleep(60)  # nothing is said on the connection that it has
+        client = world.client("once", 20.0)
+        client.send("select 1")
+        world.until(lambda: engine.began)
+        world.hub.sleep(0.1)
+        call = next(iter(world.node.owner.open.values()))
+
+        def refuse(hub, address, until):
+            raise Refused("ECONNREFUSED")
+
+        monkeypatch.setattr(pool, "connect", refuse)
+        attempt, began = call.attempt, time.monotonic()
+        if broke:
+            engine.down()
+        else:
+            world.node.owner.engines.cancel(attempt)
+        world.until(lambda: call.attempt is not attempt, 10.0)
+        assert least < time.monotonic() - began < most
+    world.run(play)
