Each front end of a sparse fleet keeps to twelve engines, dealt out evenly

A front end sees one answer of an engine in four seconds.

At fault: control.py _start samples twelve engines anew for each request. Change: of one order of the engines, the same everywhere, each front end takes the stretch of twelve that begins at its own place; each engine has 15 to 17 of 40 front ends. Where none of them can take a query, a sample of all as before; due turns at cold engines stay with all.

Ruled out as larger causes: probes (dials beside attempts) are 0.3 a request since they are priced.

--- a/aspenrill/control.py
+++ b/aspenrill/control.py
@@ -61,6 +61,7 @@
         self.lines, self.key_rest = Lines(), {}  # ordered keys: who came, in order; until when a key rests
         self.taken, self.extra, self.starts, self.entered, self.lost = (deque() for _ in range(5))  # times
         self.rung, self.base_gap, self.next_entry, self.gap_until, self.look_at = 0, 0.0, 0.0, 0.0, now
+        self.homes = []  # where a sparse gateway sends first: few connections, and each seen often
         self.part, self.threads, self.sparse = 0.0, 0, False  # cores for this gateway, its threads out
         self.thin, self.news, self.paging = False, False, False  # own threads say too little; others tell
         self.ordinary, self.mean_load, self.mean_at = 1.0, 0.0, now  # the fleet's slowdown and told load
@@ -132,6 +133,8 @@
         self.thin = few and (asks or self.set.may_tell and not self.set.may_probe)
         self.sparse = few and not self.thin  # nor does anyone tell of them: this gateway's part of all counts
         self.news = self.thin and not asks  # and gateways tell each other of them
+        order, first = self.fleet.order(-1), self.set.me * len(self.live) // self.set.gateways
+        self.homes = [order[(first + i) % len(order)] for i in range(min(LOOK, len(order)))]
         self._measure()
         self.paging = self.news and self.set.shortage_pages  # a jam feeds itself
 
@@ -366,7 +369,8 @@
         """Send to the engine with the fewest own threads a core among those that may take it."""
         some = self.live if len(self.live) <= LOOK else self.random.sample(self.live, LOOK)
         if self.sparse:
-            some = some + self.random.sample(self.cold, min(LOOK, len(self.cold)))
+            able = [e for e in self.homes if e.healthy and self._allowed(query, e) and self._room(e, query)]
+            some = (able or some) + self.random.sample(self.cold, min(LOOK, len(self.cold)))
         if self.thin:
             answered = [e for e in query.asked if e.heard_at >= query.asked_at or self.news]
             cold = self.random.sample(self.cold, min(LOOK, len(self.cold)))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -102,3 +102,24 @@
         assert [s.engine for s in of(api.Send, g.handle(1.16, api.Request("b", 0, 5.0)))] != ["new"]
         assert [s.engine for s in of(api.Send, g.handle(1.17, api.Request("c", 1, 20.0)))] != ["new"]
         assert [s.engine for s in of(api.Send, g.handle(1.25, api.Request("d", 1, 20.0)))] == ["new"]
+
+
+def test_each_gateway_keeps_to_few_engines_and_each_engine_has_as_many_gateways():
+    # all at all engines: 1,200 connections for 10 requests out at each, and of each engine an answer in 4 s
+    met, gateways = {n: set() for n in NAMES}, fleet()
+    for step in range(40):
+        for g in gateways:
+            now, name = 0.1 + step * 0.1, f"{g.set.me}/{step}"
+            at = of(api.Send, g.handle(now, api.Request(name, 0, 5.0)))[0].engine
+            met[at].add(g.set.me)
+            g.handle(now + 0.05, AttemptEnded(name, 0, at, Outcome.OK, 0.05, True, 0.05))
+    assert max(map(len, met.values())) <= 17 and min(map(len, met.values())) >= 8
+    homes = Counter(e.entry.engine for g in gateways for e in g.homes)
+    assert set(homes) == set(NAMES) and set(homes.values()) <= {15, 16, 17}
+    for g in gateways[:1]:  # where none of them takes it, another does
+        before = {e.entry.engine for e in g.homes}
+        for e in g.homes:
+            e.full_until = 99.0
+        assert of(api.Send, g.handle(9.0, api.Request("x", 0, 5.0)))[0].engine not in before
+        g.handle(9.1, ListUpdate(ListMode.CHANGES, (EngineEntry("e7", EngineState.GONE, kind=1),)))
+        assert len(before & {e.entry.engine for e in g.homes}) >= 9  # one that leaves moves few
