--- a/aspenrill/control.py
+++ b/aspenrill/control.py
@@ -19,6 +19,7 @@
 THREADS_A_CORE = 1.7  # limit under pressure: near where engines with many threads begin to lose work
 AT_EASE = 1.5  # times the limit without pressure, where it binds a gateway's threads at all engines together
 SLOW_STEP, SLOW_FOR = 0.4, 5.0  # weight of a new answer in an engine's own slowdown, in which it fades
+FAULTY = 3.0  # times slower that an engine counts with each error
 PRESSURE, PRESSED = 1.7, 1.1  # slowdown of the fleet, and load a core as an engine reports it, that press
 STEP = 0.1  # weight of a new answer in a running mean
 FLOOR_DOWN, FLOOR_UP = 0.005, 0.002  # steps of the running low quantile that stands for the work of a query
@@ -547,6 +548,8 @@
         if end.outcome in (Outcome.TIMEOUT, Outcome.CANCELLED):  # it was as slow as that, or slower
             slow = end.latency / query.expected * self.ordinary
             engine.slow, engine.slow_at = max(self._slow(engine), slow), self.now
+        elif end.outcome in (Outcome.ERROR, Outcome.CONNECT_FAILED, Outcome.RESET):
+            engine.slow, engine.slow_at = FAULTY * self._slow(engine), self.now
         if end.outcome is not Outcome.OK:
             return
         if query.afresh and end.latency <= OVERDUE * query.expected * self.ordinary:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -123,3 +123,67 @@
         assert of(api.Send, g.handle(9.0, api.Request("x", 0, 5.0)))[0].engine not in before
         g.handle(9.1, ListUpdate(ListMode.CHANGES, (EngineEntry("e7", EngineState.GONE, kind=1),)))
         assert len(before & {e.entry.engine for e in g.homes}) >= 9  # one that leaves moves few
+
+
+def test_a_zone_that_comes_back_cold_to_all_at_once_is_not_pushed_over():
+    # lost without a word, back under the same ids; each front end hears of it, and one is restarted meanwhile
+    gateways, zone, sent, due = fleet(), NAMES[:10], [], []
+    state = {n: EngineEntry(n, EngineState.LIVE, kind=i % 2) for i, n in enumerate(NAMES)}
+    work = (0.2, 3.0)
+
+    def told(g, now, names, **more):
+        entries = tuple(replace(state[n], **more) for n in names)
+        state.update((e.engine, e) for e in entries)
+        carry(g, now, g.handle(now, ListUpdate(ListMode.CHANGES, entries)))
+
+    def carry(g, now, actions):
+        for a in of(api.Send, actions):
+            cls = 0 if a.request.endswith("l") else 1
+            sent.append((now, a.engine, work[cls]))
+            due.append((now + work[cls], g, a.request, len(g.queries[a.request].attempts) - 1, a.engine, cls))
+
+    for step in range(800):
+        now = 0.1 + step * 0.02
+        for item in [d for d in due if d[0] <= now]:
+            due.remove(item)
+            _, g, name, number, at, cls = item
+            if name in g.out:
+                end = AttemptEnded(name, number, at, Outcome.OK, work[cls], True, work[cls])
+                carry(g, now, g.handle(now, end))
+        for g in gateways:
+            if g.timer_at <= now:
+                carry(g, now, g.handle(now, api.TimerDue("look")))
+            i = g.set.me
+            if step == 50 + i % 5:
+                told(g, now, zone, state=EngineState.GONE)
+            elif step == 250 + i % 5:
+                told(g, now, zone, state=EngineState.LIVE, started=4.9)
+            if (step + i) % 6 == 0:
+                name = f"{i}/{step}" + ("l" if (step + i) % 24 else "r")
+                carry(g, now, g.handle(now, api.Request(name, int(name[-1] == "r"), 20.0)))
+        if step == 300:
+            gateways[7] = Gateway(gateways[7].set, 99, now)
+            gateways[7].handle(now, ListUpdate(ListMode.REMEMBERED, tuple(state.values())))
+            due[:] = [d for d in due if d[1].set.me != 7]
+    for i, name in enumerate(zone):
+        mine = [(t, w) for t, at, w in sent if at == name and t > 4.9]
+        for end in (5.0 + 0.25 * k for k in range(44)):
+            able = (0.3 + 0.7 * (end - 4.9) / 12.0) * (8, 16)[i % 2]
+            assert sum(w for t, w in mine if end - 1.5 < t <= end) <= 2.5 * able * 1.5, (name, end)
+        assert sum(w for _, w in mine) > 0.3 * 0.3 * (8, 16)[i % 2] * 11.0  # nor starved
+
+
+def test_an_engine_that_fails_two_in_five_loses_its_work_after_three_answers():
+    # one error is much where the fleet makes one in a thousand: five in a row, as put it out, never came
+    share = Counter()
+    for g in fleet(NAMES[:4], 5):
+        now, seen = 0.1, 0
+        for step in range(300):
+            now, name = now + 0.1, f"r{step}"
+            for sent in of(api.Send, g.handle(now, api.Request(name, 0, 60.0))):
+                share[sent.engine] += seen >= 3
+                bad = sent.engine == "e1" and step % 5 < 2
+                seen += sent.engine == "e1"
+                g.handle(now + 0.05, AttemptEnded(name, 0, sent.engine, Outcome.ERROR if bad else Outcome.OK,
+                                                  0.05, True, 0.05))
+    assert share["e1"] < share["e3"] / 2
