The fleet's cap is 1.3 times the limit, leaves out engines that leave, and spares short work the gap

At fault, control.py: the cap gave short work twice the limit and all 1.5 times it at ease; it counted threads that still ran at leaving engines, 120 to 180, against those that stay; at rung 5 also short worthy work meets the gap.

--- a/aspenrill/control.py
+++ b/aspenrill/control.py
@@ -17,7 +17,7 @@
 TOP, DEEP, RENEW = 5, 9, 5.0  # highest rung, and where a jam feeds itself by a told load; d in waits
 SHORT_ROOM = 2.0  # times the limit for short ones, which take their cores from longer work by priority
 THREADS_A_CORE = 1.7  # limit under pressure: near where engines with many threads begin to lose work
-AT_EASE = 1.5  # times the limit without pressure, where it binds a gateway's threads at all engines together
+AT_EASE = 1.3  # times the limit without pressure, where it binds a gateway's threads at all engines together
 SLOW_STEP, SLOW_FOR = 0.4, 5.0  # weight of a new answer in an engine's own slowdown, in which it fades
 FAULTY = 3.0  # times slower that an engine counts with each error
 PRESSURE, PRESSED = 1.7, 1.1  # slowdown of the fleet, and load a core as an engine reports it, that press
@@ -63,7 +63,7 @@
         self.taken, self.extra, self.starts, self.entered, self.lost = (deque() for _ in range(5))  # times
         self.rung, self.base_gap, self.next_entry, self.gap_until, self.look_at = 0, 0.0, 0.0, 0.0, now
         self.homes = []  # where a sparse gateway sends first: few connections, and each seen often
-        self.part, self.threads, self.sparse = 0.0, 0, False  # cores for this gateway, its threads out
+        self.part, self.sparse = 0.0, False  # warm cores for this gateway
         self.thin, self.news, self.paging = False, False, False  # own threads say too little; others tell
         self.ordinary, self.mean_load, self.mean_at = 1.0, 0.0, now  # the fleet's slowdown and told load
         self.shed_after = shed_after(settings)
@@ -261,7 +261,8 @@
         if ask.waited > self.shed_after[ask.cls]:
             return self._end(query)  # this gateway falls behind: what it takes on now would be late
         size = self._size(query)
-        if self.rung and (self.news or size > BESIDE * LADDER ** (-2 * self.rung)):
+        beside = max(BESIDE * LADDER ** (-2 * self.rung), self.sparse)  # few entries, of which r is rough
+        if self.rung and (self.news or size > beside):
             small = self.news and size < LADDER ** -self.rung
             if self.now < self.next_entry and not small or self.news and size > BESIDE:
                 return self._end(query)  # uncounted: r is not to see the gap's own work
@@ -356,8 +357,8 @@
             return not full and not jammed
         if self.sparse:  # its share of one engine is less than a query: of all together it is some
             limit = THREADS_A_CORE * self.part * (1 if self.ordinary > PRESSURE else AT_EASE)
-            limit *= SHORT_ROOM if self.set.priorities_heeded and short else 1
-            warm = self.threads - sum(e.threads for e in self.cold)
+            limit *= AT_EASE if self.set.priorities_heeded and short else 1
+            warm = sum(e.threads for e in self.live if self.now >= e.cold_until)
             return not full and (self.now < engine.cold_until or not warm or warm + spec.threads <= limit)
         limit = THREADS_A_CORE * engine.cores  # beyond it own threads alone are pressure
         if pressed or self.ordinary > PRESSURE:
@@ -469,7 +470,6 @@
         limit *= slow and again and learned.spec.effect is not Effect.UNSAFE
         engine.out[ask.request] = self.out[ask.request] = query
         engine.threads += learned.spec.threads
-        self.threads += learned.spec.threads
         engine.count_load(ask.data_set, learned.spec.is_load)
         if self.now < engine.cold_until:
             self._cold_turn(engine, ask.cls, after=True)
@@ -507,7 +507,6 @@
         engine, spec = query.engine, self.classes[query.ask.cls].spec
         del engine.out[end.request]
         engine.threads -= spec.threads
-        self.threads -= spec.threads
         engine.count_load(query.ask.data_set, -spec.is_load)
         query.engine, self.freed = None, query.kind
         if not end.outcome.never_ran and query.ran_at is None:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -54,6 +54,7 @@
 
 def test_limit_binds_only_under_pressure_and_leaves_room_for_one():
     g = gateway("a", gateways=4)
+    g.sparse = False  # as where engines are no fewer than gateways
     fill(g, 5)
     assert len(g.fleet.engines["a"].out) == 5
     press(g)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -82,6 +82,29 @@
     assert threads <= THREADS_A_CORE * AT_EASE * 12 * len(left)
 
 
+def test_what_still_runs_at_engines_that_leave_takes_no_room_at_those_that_stay():
+    for g in fleet():
+        for i in range(20):
+            g.handle(0.1, api.Request(f"r{i}", 1, 20.0))
+        out = sum(e.threads for e in g.fleet.engines.values())
+        leaving = [e for e in g.live if e.threads][:4]
+        g.handle(0.2, ListUpdate(ListMode.CHANGES, tuple(
+            replace(e.entry, state=EngineState.DRAINING) for e in leaving)))
+        for i in range(20):
+            g.handle(0.3, api.Request(f"s{i}", 1, 20.0))
+        assert sum(e.threads for e in g.fleet.engines.values()) > out
+
+
+def test_short_worthy_work_passes_beside_the_gap_at_any_rung():
+    (g, *_), passed = fleet(), 0
+    g.classes[0].work, g.classes[1].work = 0.2, 3.0
+    g.mix.update()
+    for rung in range(6):
+        g.rung, g.base_gap, g.next_entry = rung, 1.0, 99.0
+        passed += len(of(api.Send, g.handle(0.1, api.Request(f"r{rung}", 0, 5.0))))
+    assert passed == 6 and not of(api.Send, g.handle(0.1, api.Request("long", 1, 20.0)))
+
+
 def test_an_engine_that_answers_nothing_loses_its_work_before_anything_has_ended():
     (g, *_), now, late = fleet(NAMES[:4], 5), 0.1, Counter()
     for step in range(400):
