Short worthy work has room of its own beside the fleet's cap

Change: where priorities are heeded, a sparse gateway may have as many of a short worthy class out as its part has cores, whatever else is out.

--- a/aspenrill/control.py
+++ b/aspenrill/control.py
@@ -359,7 +359,10 @@
             limit = THREADS_A_CORE * self.part * (1 if self.ordinary > PRESSURE else AT_EASE)
             limit *= AT_EASE if self.set.priorities_heeded and short else 1
             warm = sum(e.threads for e in self.live if self.now >= e.cold_until)
-            return not full and (self.now < engine.cold_until or not warm or warm + spec.threads <= limit)
+            alike = sum(q.ask.cls == query.ask.cls for q in self.out.values()) if short else math.inf
+            apart = self.set.priorities_heeded and (alike + 1) * spec.threads <= self.part
+            room = not warm or warm + spec.threads <= limit or apart  # long work is not to keep out short
+            return not full and (self.now < engine.cold_until or room)
         limit = THREADS_A_CORE * engine.cores  # beyond it own threads alone are pressure
         if pressed or self.ordinary > PRESSURE:
             limit /= self.set.gateways
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -210,3 +210,14 @@
                 g.handle(now + 0.05, AttemptEnded(name, 0, sent.engine, Outcome.ERROR if bad else Outcome.OK,
                                                   0.05, True, 0.05))
     assert share["e1"] < share["e3"] / 2
+
+
+def test_long_work_does_not_keep_short_worthy_work_out():
+    for g in fleet(priorities_heeded=True)[:5]:
+        g.classes[0].work, g.classes[1].work = 0.2, 3.0
+        g.mix.update()
+        for i in range(30):
+            g.handle(0.1, api.Request(f"long{i}", 1, 20.0))
+        assert g.held  # the cap is reached
+        short = [s for i in range(30) for s in of(api.Send, g.handle(0.2, api.Request(f"short{i}", 0, 5.0)))]
+        assert g.part - 1 < len(short) <= THREADS_A_CORE * AT_EASE ** 2 * g.part
