--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -221,3 +221,25 @@
         assert g.held  # the cap is reached
         short = [s for i in range(30) for s in of(api.Send, g.handle(0.2, api.Request(f"short{i}", 0, 5.0)))]
         assert g.part - 1 < len(short) <= THREADS_A_CORE * AT_EASE ** 2 * g.part
+
+
+def test_a_list_told_whole_again_during_a_release_gives_no_cold_engine_its_turns_anew():
+    # late, broken and repeated feeds tell the same engines again: forty fresh starts would be forty bursts
+    old = tuple(EngineEntry(n, EngineState.LIVE, kind=i % 2) for i, n in enumerate(NAMES))
+    new = tuple(EngineEntry(f"new{i}", EngineState.LIVE, kind=i % 2, started=0.9) for i in range(18))
+    leaving = tuple(replace(e, state=EngineState.DRAINING) for e in old[:18])
+    counts = []
+    for again in (False, True):
+        sent = 0
+        for g in fleet():
+            g.handle(1.0, ListUpdate(ListMode.CHANGES, leaving + new))
+            for step in range(60):
+                now, name = 1.0 + step * 0.05, f"r{step}"
+                if again and step % 5 == 4:
+                    g.handle(now, ListUpdate(ListMode.COMPLETE, leaving + new + old[18:]))
+                for at in of(api.Send, g.handle(now, api.Request(name, 0, 5.0))):
+                    assert at.engine not in NAMES[:18]
+                    sent += at.engine.startswith("new")
+                    g.handle(now + 0.04, AttemptEnded(name, 0, at.engine, Outcome.OK, 0.04, True, 0.3))
+        counts.append(sent)
+    assert counts[0] > 50 and 0.8 * counts[0] < counts[1] < 1.25 * counts[0]
