An engine's slowdown by errors is bounded, and kept by sparse gateways only

Seen on reading the change again: _learn tripled engine.slow with each error without end, so that some hundred errors a second would leave the floats and take all engines out of the choice; _on_list sorted and _learn summed over what is out for gateways that never use it, on the ordinary path.

Change: SLOWEST bounds it; homes, order and slowdown are made where the gateway is sparse.

--- a/aspenrill/control.py
+++ b/aspenrill/control.py
@@ -19,7 +19,7 @@
 THREADS_A_CORE = 1.7  # limit under pressure: near where engines with many threads begin to lose work
 AT_EASE = 1.3  # times the limit without pressure, where it binds a gateway's threads at all engines together
 SLOW_STEP, SLOW_FOR = 0.4, 5.0  # weight of a new answer in an engine's own slowdown, in which it fades
-FAULTY = 3.0  # times slower that an engine counts with each error
+FAULTY, SLOWEST = 3.0, 1e3  # times slower that an engine counts with each error, and the most by errors
 PRESSURE, PRESSED = 1.7, 1.1  # slowdown of the fleet, and load a core as an engine reports it, that press
 STEP = 0.1  # weight of a new answer in a running mean
 FLOOR_DOWN, FLOOR_UP = 0.005, 0.002  # steps of the running low quantile that stands for the work of a query
@@ -134,7 +134,8 @@
         self.thin = few and (asks or self.set.may_tell and not self.set.may_probe)
         self.sparse = few and not self.thin  # nor does anyone tell of them: this gateway's part of all counts
         self.news = self.thin and not asks  # and gateways tell each other of them
-        order, first = self.fleet.order(-1), self.set.me * len(self.live) // self.set.gateways
+        order = self.fleet.order(-1) if self.sparse else []
+        first = self.set.me * len(order) // self.set.gateways
         self.homes = [order[(first + i) % len(order)] for i in range(min(LOOK, len(order)))]
         self._measure()
         self.paging = self.news and self.set.shortage_pages  # a jam feeds itself
@@ -547,11 +548,11 @@
             self._eject(engine, end.outcome.value)
         elif end.outcome is Outcome.TIMEOUT:
             self._probe(engine)  # answers may be lost on the way while the engine works
-        if end.outcome in (Outcome.TIMEOUT, Outcome.CANCELLED):  # it was as slow as that, or slower
+        if self.sparse and end.outcome in (Outcome.TIMEOUT, Outcome.CANCELLED):  # as slow, or slower
             slow = end.latency / query.expected * self.ordinary
             engine.slow, engine.slow_at = max(self._slow(engine), slow), self.now
-        elif end.outcome in (Outcome.ERROR, Outcome.CONNECT_FAILED, Outcome.RESET):
-            engine.slow, engine.slow_at = FAULTY * self._slow(engine), self.now
+        elif self.sparse and end.outcome in (Outcome.ERROR, Outcome.CONNECT_FAILED, Outcome.RESET):
+            engine.slow, engine.slow_at = min(SLOWEST, FAULTY * self._slow(engine)), self.now
         if end.outcome is not Outcome.OK:
             return
         if query.afresh and end.latency <= OVERDUE * query.expected * self.ordinary:
@@ -576,7 +577,8 @@
         learned.work = busy + (1 - STEP) * ((learned.work or busy) - busy)
         slow = latency * threads / max(1e-3, busy)
         self.ordinary = max(1.0, blend(self.ordinary, max(0.1, slow), STEP))
-        engine.slow, engine.slow_at = blend(self._slow(engine), max(0.1, slow), SLOW_STEP), self.now
+        if self.sparse:
+            engine.slow, engine.slow_at = blend(self._slow(engine), max(0.1, slow), SLOW_STEP), self.now
         short = query.spilled or (end.memory_mb or 0.0) > ask.memory_mb * learned.memory
         learned.step(GROW if short else SHRINK, HASTE)
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -243,3 +243,13 @@
                     g.handle(now + 0.04, AttemptEnded(name, 0, at.engine, Outcome.OK, 0.04, True, 0.3))
         counts.append(sent)
     assert counts[0] > 50 and 0.8 * counts[0] < counts[1] < 1.25 * counts[0]
+
+
+def test_errors_without_end_leave_every_engine_in_the_choice():
+    # three times slower with each of some hundred errors a second: the figure would leave the floats
+    (g, *_) = fleet(NAMES[:4], 5)
+    for step in range(3000):
+        now, name = 0.1 + step * 0.001, f"r{step}"
+        for sent in of(api.Send, g.handle(now, api.Request(name, 0, 5.0))):
+            g.handle(now, AttemptEnded(name, 0, sent.engine, Outcome.ERROR, 0.001, True))
+    assert max(e.slow for e in g.live) <= 1e3
