Front ends that find each other: SWIM members, state by origin, authenticated messages

Need: processes shared nothing, so none could tell another that something has changed. Change: aspenrill/fleet/peers (members after SWIM with Lifeguard's local health, entries by origin, whole exchanges, HMAC with two keys, replays turned away, twins of a name found), the service that carries parts on the hub, durable records, deploy/fleet.toml (off); the module's Tell goes out and comes in where may_tell is set. A platform node imports none of it. membership/rule.py is split.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 
 build:
 	test -d $(VENV) || python3 -m venv $(VENV)
-	$(VENV)/bin/pip -q install -r requirements.txt -r requirements-sources.txt -r requirements-dev.txt
+	$(VENV)/bin/pip -q install -r requirements.txt -r requirements-sources.txt -r requirements-fleet.txt -r requirements-dev.txt
 
 test:
 	$(PY) -m pytest -q
--- a/aspenrill/application.py
+++ b/aspenrill/application.py
@@ -38,6 +38,7 @@
     connect_for: float = 0.25
     memory_mb: int = 192
     sockets: int = 1024
+    fleet: dict[str, Any] | None = None  # the table, not read yet; None: off
 
 
 def _class(row: Reader) -> tuple[str, api.QueryClass]:
@@ -157,6 +158,7 @@
     memory, sockets = (int(limits.number("memory_mb", 192, 48, 1 << 20)),
                        int(limits.number("sockets", 1024, 64, 1 << 20)))
     limits.end()
+    fleet = top.raw("fleet", dict, {}, "a table")
     top.end()
     if faults:
         return None, faults
@@ -168,4 +170,5 @@
             **settings_more)
     return Application(name, enabled, listen, answer_bytes, names, tenant_names, settings, tuple(logins),
                        domain=domain, instance_host=host, memory_mb=memory, sockets=sockets,
+                       fleet=fleet if fleet.get("enabled") is True else None,
                        **{k: v for k, v in more.items() if k not in ("cores", "memory")}), []
--- a/aspenrill/core/books.py
+++ b/aspenrill/core/books.py
@@ -178,6 +178,14 @@
     name: str
 
 
+@dataclass(slots=True)
+class Heard:
+    """What the module of another front end tells; the sender by its rank among all that are known."""
+
+    sender: int
+    data: bytes
+
+
 @dataclass(slots=True)
 class Unfit:
     """Somebody asks which engines are found broken just now; `tell` gets their ids."""
--- a/aspenrill/core/owner.py
+++ b/aspenrill/core/owner.py
@@ -7,6 +7,7 @@
 
 import time
 import traceback
+from collections.abc import Callable
 from typing import Any, Protocol
 
 from .. import api
@@ -57,6 +58,7 @@
         self.closed = False  # about to end: what still comes is turned away
         self.faults = 0
         self.most_engines = MOST_ENGINES  # that a list may name: memory is bounded
+        self.tell: Callable[[bytes], None] = lambda data: None  # to all other front ends
 
     def run(self) -> None:
         """Take events for as long as the program runs."""
@@ -147,6 +149,9 @@
         self._reached(end.peer, end.outcome)
         self._tell(api.ProbeEnded(end.peer.engine, end.outcome, end.latency, end.report))
 
+    def _on_heard(self, heard: books.Heard) -> None:
+        self._tell(api.PeerMessage(heard.sender, heard.data))
+
     def _on_due(self, due: books.Due) -> None:
         self._tell(api.TimerDue(due.name))
 
@@ -226,8 +231,10 @@
                 self.engines.probe(self.peers[engine])
             case api.Log(text):
                 self.hub.log(text)
-            case api.Tell() | api.WatchList():
-                pass  # neither is to be had here: front ends share nothing, the list comes unasked
+            case api.Tell(data):
+                self.tell(data)
+            case api.WatchList():
+                pass  # the list comes unasked
 
     def _send(self, call: Call, peer: Peer, timeout: float) -> None:
         now = time.monotonic()
@@ -254,4 +261,5 @@
 
     _takers = {books.Asked: _on_asked, books.Ended: _on_ended, books.Noted: _on_note, books.Left: _on_left,
                books.Expired: _on_expired, books.Probed: _on_probed, books.Due: _on_due,
-               books.Closing: _on_closing, books.Unfit: _on_unfit, News: _on_news}
+               books.Closing: _on_closing, books.Unfit: _on_unfit, books.Heard: _on_heard,
+               News: _on_news}
--- /dev/null
+++ b/aspenrill/fleet/config.py
@@ -0,0 +1,132 @@
+"""The fleet's part of a configuration: `deploy/fleet.toml`, or `[fleet]` in an application's file."""
+from __future__ import annotations
+
+import re
+import tomllib
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from ..errors import FleetConfigTrouble
+from ..net.address import parse
+from ..reader import Reader, unique
+from .interface import MOST_PEERS, Place
+from .peers.detector import Pace
+
+Address = tuple[str, int]
+NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,47}")
+LABEL = re.compile(r"[A-Za-z0-9._-]{0,32}")
+PARTS = ("overload", "authority", "purges", "groups")
+
+
+@dataclass(frozen=True)
+class Config:
+    """Checked. `tables` are those of the parts, which read them and note their faults in `faults`."""
+
+    enabled: bool
+    name: str
+    fleet: str
+    listen: Address
+    advertise: Address | None  # None: as it listens
+    seeds: tuple[Address, ...]
+    key_file: str
+    state: str
+    place: Place
+    voters: tuple[str, ...]
+    front_ends: int
+    alone: float
+    pace: Pace
+    tables: dict[str, Reader] = field(compare=False, repr=False)
+    faults: list[str] = field(compare=False, repr=False)
+
+    def check(self) -> None:
+        """FleetConfigTrouble with the first fault, if there is any: ask again once all parts have read."""
+        if self.faults:
+            more = f" (and {len(self.faults) - 1} more)" if self.faults[1:] else ""
+            raise FleetConfigTrouble(f"{self.faults[0]}{more}")
+
+
+def _name(top: Reader, field_name: str, default: str | None = None) -> str:
+    value = top.text(field_name, default)
+    if value and not NAME.fullmatch(value):
+        top.fault(field_name, f"letters, digits, '.', '_' and '-', 48 at most, are wanted, got {value!r}")
+    return value
+
+
+def _place(top: Reader) -> Place:
+    value = top.text("place", "")
+    parts = value.split("/") if value else []
+    if len(parts) > 3 or not all(LABEL.fullmatch(part) for part in parts):
+        top.fault("place", f"site/building/hall is wanted, got {value!r}")
+        return Place()
+    return Place(*parts)
+
+
+def _addresses(top: Reader, name: str) -> tuple[Address, ...]:
+    found = []
+    for at, text in enumerate(top.texts(name)):
+        try:
+            found.append(parse(text))
+        except ValueError:
+            top.fault(f"{name}[{at}]", f"ADDRESS:PORT with a numeric address is wanted, got {text!r}")
+    unique(top, name, found)
+    return tuple(found)
+
+
+def _pace(row: Reader) -> Pace:
+    usual = Pace()
+    least = row.number("suspect_least_ms", usual.suspect_least * 1000, 10, 60000) / 1000
+    most = row.number("suspect_most_ms", usual.suspect_most * 1000, 10, 600000) / 1000
+    if least > most:
+        row.fault("suspect_least_ms", "must not be beyond suspect_most_ms")
+    pace = Pace(
+        period=row.number("period_ms", usual.period * 1000, 50, 60000) / 1000,
+        ack=row.number("ack_ms", usual.ack * 1000, 5, 60000) / 1000, suspect_least=least, suspect_most=most,
+        gossip=row.number("gossip_ms", usual.gossip * 1000, 10, 60000) / 1000,
+        fanout=int(row.number("fanout", usual.fanout, 1, 20)),
+        sync=row.number("exchange_s", usual.sync, 1, 86400),
+        reconnect=row.number("reconnect_ms", usual.reconnect * 1000, 100, 600000) / 1000,
+        forget=row.number("forget_s", usual.forget, 10, 10 * 86400),
+        entries=row.number("entries_s", usual.entries, 5, 86400))
+    row.end()
+    return pace
+
+
+def read(top: Reader) -> Config:
+    """The table of a fleet. Faults are noted at `top`; `check` raises the first."""
+    listen = top.address("listen", "127.0.0.1:0")
+    advertise = top.address("advertise") if "advertise" in top.table else None
+    top.seen.add("advertise")
+    if advertise is None and listen[0] in ("0.0.0.0", "::"):
+        top.fault("advertise", "missing; with listen at every address, others must be told one of them")
+    voters = top.texts("voters")
+    unique(top, "voters", voters)
+    config = Config(
+        enabled=top.flag("enabled", False), name=_name(top, "name"), fleet=_name(top, "fleet", "fleet"),
+        listen=listen, advertise=advertise, seeds=_addresses(top, "seeds"), key_file=top.text("key_file"),
+        state=top.text("state"), place=_place(top), voters=tuple(voters),
+        front_ends=int(top.number("front_ends", 1, 1, MOST_PEERS)), alone=top.number("alone", 0.5, 0, 1),
+        pace=_pace(top.table_of("times")), tables={name: top.table_of(name) for name in PARTS},
+        faults=top.faults)
+    top.end()
+    return config
+
+
+def read_text(text: str) -> Config:
+    """The configuration of a file whose whole text, or whose [fleet], is a fleet's table."""
+    try:
+        table = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as why:
+        raise FleetConfigTrouble(f"file: {why}") from None
+    inner = table.get("fleet")
+    path = "fleet." if isinstance(inner, dict) else ""
+    config = read(Reader(inner if path else table, path, []))
+    config.check()
+    return config
+
+
+def read_file(path: str | Path) -> Config:
+    """As `read_text`, of a file. FleetConfigTrouble where it cannot be read or used."""
+    try:
+        return read_text(Path(path).read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError) as why:
+        raise FleetConfigTrouble(f"{path}: {why}") from None
--- a/aspenrill/membership/rule.py
+++ b/aspenrill/membership/rule.py
@@ -12,8 +12,8 @@
 (f) What comes up anew, or comes back after a withdrawal long enough to have restarted, is cold: its start
     time is now. What a source's first list names was at work before, and is not.
 
-A list that shrinks by more than a share at once counts only where a second look finds the same missing. What
-flaps is held out (`flaps`), what is of a lower tier waits until it is needed (`tiers`).
+A list that shrinks by more than a share at once counts only where a second look finds the same missing
+(`source`). What flaps is held out (`flaps`), what is of a lower tier waits until it is needed (`tiers`).
 
 No I/O. Times are seconds of one clock that never goes back, and come in as arguments.
 """
@@ -22,28 +22,16 @@
 import heapq
 from collections import OrderedDict
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 from ..api import EngineState
 from ..members import Member
 from ..net.address import show
-from .flaps import Damping, Flaps
+from .engine import Engine, explain
+from .flaps import Damping
+from .source import DRAINING, GONE, LIVE, STANDING, Address, Source, Spec, precedence
 from .tiers import TierRules, Tiers
 
-Address = tuple[str, int]
-LIVE, DRAINING, GONE = EngineState.LIVE, EngineState.DRAINING, EngineState.GONE
-STANDING = {LIVE: 0, DRAINING: 1, GONE: 2}
-
-
-@dataclass(frozen=True, slots=True)
-class Spec:
-    """A source as configured. `names_ids`: its ids are the engines' own. `shrink`: the share of its list that
-    may go at once without a second look; 1 where a missing entry is a statement."""
-
-    name: str
-    names_ids: bool = True
-    shrink: float = 1.0
-
 
 @dataclass(frozen=True, slots=True)
 class Rules:
@@ -60,50 +48,6 @@
     tiers: TierRules = field(default_factory=TierRules)
 
 
-class Source:
-    """What one source has said last, by address, and how it does."""
-
-    def __init__(self, spec: Spec, rank: int) -> None:
-        self.spec, self.rank = spec, rank
-        self.said: dict[Address, Member] = {}
-        self.where: dict[str, Address] = {}  # by its own ids
-        self.first = True  # has said nothing yet
-        self.leaving = False  # not configured any more
-        self.heard_at: float | None = None
-        self.failing: str | None = None
-        self.doubted: set[Address] = set()  # missing from the last list, until a second look
-        self.doubted_at = 0.0
-
-    def note(self, address: Address, member: Member | None) -> None:
-        """Its word on an address; None: it names none there."""
-        old = self.said.pop(address, None)
-        if old is not None and self.where.get(old.engine) == address:
-            del self.where[old.engine]
-        if member is not None:
-            self.said[address] = member
-            self.where[member.engine] = address
-
-
-class Engine:
-    """One engine at its address, from its first mention until it is forgotten."""
-
-    __slots__ = ("id", "address", "says", "aliases", "started", "up", "known", "down_at", "flaps", "fit",
-                 "inside", "told")
-
-    def __init__(self, ident: str, address: Address, damping: Damping) -> None:
-        self.id, self.address = ident, address
-        self.says: dict[str, Member] = {}  # by source
-        self.aliases: dict[str, str] = {}  # the id that each source has for it
-        self.started = 0.0
-        self.up = False  # by (b)
-        self.known = False  # has been up
-        self.down_at = 0.0
-        self.flaps = Flaps(damping)
-        self.fit = True  # as the decision module sees it
-        self.inside = False  # let in by its tier
-        self.told: Member | None = None  # as the owner was told last
-
-
 class Membership:
     """Sources go in by `whole`, `change` and `failed`; `take` gives what the owner is to be told.
 
@@ -166,7 +110,7 @@
         asked = now if asked is None else asked
         new = self._places(source, members)
         missing = [address for address in source.said if address not in new]
-        withdrawn = self._confirmed(now, source, missing, asked)
+        withdrawn = self._withdrawn(now, source, missing, asked)
         self._heard(now, source)
         moved = [a for a, m in new.items() if a in source.said and source.said[a].engine != m.engine]
         for address in [*withdrawn, *(moved if source.spec.names_ids else ())]:
@@ -262,7 +206,7 @@
             if member.state is GONE or not self._may(source, member):
                 continue
             other = found.get(member.address)
-            if other is None or _precedence(member) <= _precedence(other):
+            if other is None or precedence(member) <= precedence(other):
                 found[member.address] = member
         return found
 
@@ -290,25 +234,14 @@
         if len(self._skipped) > 4096:
             self._skipped.popitem(last=False)
 
-    def _confirmed(self, now: float, source: Source, missing: list[Address], asked: float) -> list[Address]:
+    def _withdrawn(self, now: float, source: Source, missing: list[Address], asked: float) -> list[Address]:
         """Which of those missing from a list are withdrawn by it."""
-        if not missing or len(missing) <= source.spec.shrink * len(source.said):
-            source.doubted = set()
-            return missing
-        sure: list[Address] = []
-        if source.doubted and asked >= source.doubted_at + self.rules.confirm:
-            sure = [address for address in missing if address in source.doubted]
-        elif source.doubted and source.doubted.issuperset(missing):
-            return []  # the same answer again, or too soon: the second look is still to come
-        if len(sure) == len(missing):
-            self.notes.append(f"source {source.spec.name}: a second look finds the same {len(sure)} missing")
-            source.doubted = set()
-            return sure
-        source.doubted, source.doubted_at = set(missing), asked
-        self.notes.append(f"source {source.spec.name}: {len(missing)} of {len(source.said)} missing at once, "
-                          f"to be confirmed by a second look")
-        self.looks.append((source.spec.name, now + self.rules.confirm))
-        return sure
+        withdrawn, note, again = source.withdraws(missing, asked, self.rules.confirm)
+        if note is not None:
+            self.notes.append(note)
+        if again:
+            self.looks.append((source.spec.name, now + self.rules.confirm))
+        return withdrawn
 
     def _hand_over(self, now: float) -> None:
         """Sources that are configured no more go once all that are have spoken."""
@@ -378,23 +311,10 @@
         if self.ids.get(engine.id) == engine.address:
             del self.ids[engine.id]
 
-    def _top(self, engine: Engine) -> Member:
-        """The word of the highest source, with priority and weight of the highest that has them (e)."""
-        best, stated = None, None
-        for name, member in engine.says.items():
-            rank = self.sources[name].rank
-            if best is None or rank < best[0]:
-                best = rank, member
-            if member.weight is not None and (stated is None or rank < stated[0]):
-                stated = rank, member
-        if stated is None:
-            return best[1]
-        return replace(best[1], priority=stated[1].priority, weight=stated[1].weight)
-
     def _judge(self, now: float, engine: Engine, source: Source | None = None) -> None:
         """Whether an engine is up by (b), cold by (f), held, and in by its tier; what the owner hears."""
         if engine.says:
-            top = self._top(engine)
+            top = engine.top(self.sources)
             engine.started = max(engine.started, top.started)
         up = bool(engine.says) and all(m.state is LIVE for m in engine.says.values())
         if up and not engine.up:
@@ -470,29 +390,6 @@
         self._count += 1
         heapq.heappush(self._timers, (due, self._count, what, about))
 
-    # ---- for people -----------------------------------------------------------------------------------
-
     def explain(self, now: float) -> list[tuple[Member, bool, str, list[str]]]:
         """Each engine that is named: as it stands, whether it is in, why, and by whom it is named."""
-        rows = []
-        for engine in sorted(self.engines.values(), key=lambda e: e.id):
-            top = self._top(engine)
-            no = [f"{name} says that it {'drains' if m.state is DRAINING else 'is gone'}"
-                  for name, m in engine.says.items() if m.state is not LIVE]
-            if no:
-                why = "; ".join(no)
-            elif engine.flaps.held(now):
-                why = f"it comes and goes: held out for {engine.flaps.held_until - now:.0f} s more"
-            elif not engine.inside:
-                why = f"tier {top.priority} is not needed" if engine.fit else "it is not fit"
-            else:
-                why = "named live by " + ", ".join(engine.says)
-            is_in = engine.up and engine.inside and not engine.flaps.held(now)
-            state = LIVE if engine.up else DRAINING
-            rows.append((replace(top, engine=engine.id, state=state, started=engine.started), is_in, why,
-                         list(engine.says)))
-        return rows
-
-
-def _precedence(member: Member) -> tuple[int, int, float, float]:
-    return STANDING[member.state], member.priority, -(member.weight or 0.0), -member.started
+        return explain(now, self.engines.values(), self.sources)
--- a/aspenrill/net/conn.py
+++ b/aspenrill/net/conn.py
@@ -246,8 +246,9 @@
     return b""
 
 
-def connect(hub: Hub, address: tuple[str, int], until: float, ring: int = RING) -> Connection:
-    """A new connection; Refused where none came up in time."""
+def connect(hub: Hub, address: tuple[str, int], until: float, ring: int = RING,
+            source: str | None = None) -> Connection:
+    """A new connection, from the host `source` where it is given; Refused where none came up in time."""
     try:
         sock = socket.socket(family_of(address[0]), socket.SOCK_STREAM)
     except OSError as why:
@@ -255,6 +256,11 @@
     conn = Connection(hub, sock, ring)
     conn.dry = True  # who is called speaks after we have
     try:
+        if source is not None:
+            try:
+                sock.bind((source, 0))
+            except OSError as why:
+                raise Refused(str(why), scarce=why.errno == errno.EADDRINUSE) from None
         code = sock.connect_ex(address)
         if code in (errno.EINPROGRESS, errno.EINTR):  # interrupted, it comes up all the same
             hub.wait_fd(conn.fd, WRITE, left(until))
--- a/aspenrill/node.py
+++ b/aspenrill/node.py
@@ -36,7 +36,7 @@
 BASE_MB, ENGINE_KB = 26, 5  # memory without engines, and of one with its part of the list's text
 LEAST_LIST = 2048  # engines that are taken at any limit: 26 MB in all
 DEPLOY = Path(__file__).resolve().parent.parent / "deploy"
-TDS_FILE, SOURCES_FILE = DEPLOY / "tds.toml", DEPLOY / "sources.toml"
+TDS_FILE, SOURCES_FILE, FLEET_FILE = DEPLOY / "tds.toml", DEPLOY / "sources.toml", DEPLOY / "fleet.toml"
 
 
 class ConfigError(Exception):
@@ -150,6 +150,7 @@
         self.owner = Owner(hub, settings, seed, make(self.pools, self.post))
         self.fronts: list[tuple[Any, Listener]] = []
         self.reread: Callable[[], None] = lambda: None  # what SIGHUP does; ConfigError where it cannot
+        self.goodbye: Callable[[], None] = lambda: None  # to the other front ends, where there are some
         hub.spawn(self.owner.run, name="owner")
 
     def post(self, event: Any) -> None:
@@ -188,14 +189,15 @@
         self.hub.sleep(0.02)
         while (any(s.writing for s, _ in self.fronts) or self.owner.queue.items) and time.monotonic() < until:
             self.hub.sleep(0.01)
+        self.goodbye()
         self.hub.log(f"left with {len(self.owner.open)} requests open")
         self.hub.stop()
 
 
 def platform(hub: Hub, env: Mapping[str, str], tds_file: Path = TDS_FILE,
-             sources_file: Path = SOURCES_FILE) -> Node:
-    """A node of the platform: Thrift before it, HTTP engines behind it; TDS too, and further sources of
-    engines, where their files say so."""
+             sources_file: Path = SOURCES_FILE, fleet_file: Path = FLEET_FILE) -> Node:
+    """A node of the platform: Thrift before it, HTTP engines behind it; TDS too, further sources of engines,
+    and a fleet of front ends that know of each other, where their files say so."""
     config = read_config(env)
     node = Node(hub, config.settings, config.seed, config.sockets, config.idle_for, config.connect_for,
                 lambda pools, post: HttpEngines(hub, pools, config.settings, config.classes, post))
@@ -212,6 +214,7 @@
     bulletin = Bulletin(hub, config.bulletin, config.last,
                         node.post if gathering is None else gathering.bulletin, config.most_engines)
     bulletin.start()
+    regroup = _fleet(hub, node, fleet_file)
 
     def reread() -> None:
         now = read_config(env)
@@ -220,6 +223,7 @@
         if gathering is not None:
             gathering.change(_sources(sources_file, config.kinds) or gathering.sources)
         bulletin.move(now.bulletin)
+        regroup()
 
     node.reread = reread
     return node
@@ -249,6 +253,16 @@
         node.listen(found.listen, tds.Service(hub, found.logins, node.post, found.name), "tds", 0.05)
 
 
+def _fleet(hub: Hub, node: Node, path: Path) -> Callable[[], None]:
+    """The other front ends, where the file has them on; what it gives reads the file again."""
+    text = _enabled(path)
+    if text is None:
+        return lambda: None
+    from .fleet.joining import join
+
+    return join(hub, node, lambda: tomllib.loads(_enabled(path) or ""), "")
+
+
 def _sources(path: Path, kinds: list[str]) -> Any:
     """The further sources of a platform node, None where its file has them off."""
     text = _enabled(path)
--- a/aspenrill/sidecar.py
+++ b/aspenrill/sidecar.py
@@ -2,6 +2,8 @@
 from __future__ import annotations
 
 import os
+from collections.abc import Callable
+from typing import Any
 
 from . import application
 from .engines.tds import TdsEngines, logging_in
@@ -24,6 +26,16 @@
     return app
 
 
+def _fleet(hub: Hub, node: Node, app: application.Application,
+           read: Callable[[], dict[str, Any]]) -> Callable[[], None]:
+    """The other front ends, where [fleet] has them on; what it gives reads the table again."""
+    if app.fleet is None:
+        return lambda: None
+    from .fleet.joining import join
+
+    return join(hub, node, read, "fleet.")
+
+
 def sidecar(hub: Hub, path: str) -> Node:
     """A node for one application's file."""
     app = _application(path)
@@ -34,6 +46,7 @@
     if app.enabled:
         service = tds.Service(hub, app.logins, node.post, app.name)
         node.listen(app.listen, service, "tds")
+    regroup = _fleet(hub, node, app, lambda: _application(path).fleet or {})
 
     def reread() -> None:
         nonlocal app
@@ -46,6 +59,7 @@
         if service is not None:
             service.mappings = now.logins
         gathering.change(now.sources)
+        regroup()
 
     node.reread = reread
     return node
