--- /dev/null
+++ b/standins/faults.py
@@ -0,0 +1,188 @@
+"""What can go wrong on the way between processes: the words for it, and the draws, all from one seed.
+
+`Weather` says for each message from A to B whether and when it comes. The relay on real sockets (`links`)
+and the world on a virtual clock (`cluster`) share it. Each link and each concern has random numbers of its
+own, so a change to the loss of one link changes nothing of the delays there, nor anything on other links.
+"""
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, fields, replace
+
+from aspenrill.fleet.interface import State
+
+EACH = "*"  # in place of a name: all processes
+QUEUED = 2.0  # seconds that a slow link keeps what waits for it; what is beyond is lost
+LATE = 0.5  # seconds by which a reordered message is held back, at most
+
+
+@dataclass(frozen=True, slots=True)
+class Link:
+    """How one direction between two processes behaves."""
+
+    loss: float = 0.0  # share that never comes
+    repeat: float = 0.0  # share that comes twice
+    reorder: float = 0.0  # share that is held back, so that later ones overtake it
+    delay_ms: float = 0.0
+    jitter_ms: float = 0.0  # on top of the delay, evenly from 0
+    rate: float = 0.0  # bytes a second; 0: no limit
+
+    def __post_init__(self) -> None:
+        for share in ("loss", "repeat", "reorder"):
+            if not 0.0 <= getattr(self, share) <= 1.0:
+                raise ValueError(f"{share} is a share from 0 to 1")
+        if min(self.delay_ms, self.jitter_ms, self.rate) < 0:
+            raise ValueError("delay_ms, jitter_ms and rate are 0 or more")
+
+    @classmethod
+    def read(cls, words: Iterable[str], base: Link | None = None) -> Link:
+        """From words such as `loss=0.2`; what is not named stays as in `base`."""
+        names = {f.name for f in fields(cls)}
+        changes = {}
+        for word in words:
+            name, sign, value = word.partition("=")
+            if not sign or name not in names:
+                raise ValueError(f"{word}: one of {', '.join(sorted(names))} with = and a number")
+            changes[name] = float(value)
+        return replace(base or cls(), **changes)
+
+
+class Weather:
+    """The links between named processes. Times are seconds of one clock, given with each call."""
+
+    def __init__(self, seed: int, link: Link | None = None) -> None:
+        self.seed = seed
+        self.calm = link or Link()
+        self._links: dict[tuple[str, str], Link] = {}
+        self._cuts: set[tuple[str, str]] = set()
+        self._side: dict[str, int] = {}
+        self._free: dict[tuple[str, str], float] = {}
+        self._streams: dict[tuple[str, str, str], random.Random] = {}
+
+    # ---- the script -----------------------------------------------------------------------------------
+
+    def link(self, a: str, b: str, link: Link) -> None:
+        """From now on, from A to B; either may be `*`. The closest rule counts: both, then A, then B."""
+        self._links[a, b] = link
+
+    def cut(self, a: str, b: str) -> None:
+        """Nothing comes from A to B any more; the other way it does. Either may be `*`."""
+        self._cuts.add((a, b))
+
+    def part(self, *groups: Iterable[str]) -> None:
+        """A partition, instead of a former one: who is in no group is in one with the others in none."""
+        self._side = {name: number for number, group in enumerate(groups, 1) for name in group}
+
+    def heal(self) -> None:
+        """All cuts and partitions are over; loss and delays stay."""
+        self._cuts.clear()
+        self._side = {}
+
+    def clear(self) -> None:
+        """Loss and delays are over too."""
+        self.heal()
+        self._links.clear()
+
+    # ---- one message ----------------------------------------------------------------------------------
+
+    def rule(self, a: str, b: str) -> Link:
+        """What holds from A to B."""
+        links = self._links
+        if not links:
+            return self.calm
+        for key in ((a, b), (a, EACH), (EACH, b), (EACH, EACH)):
+            if key in links:
+                return links[key]
+        return self.calm
+
+    def open(self, a: str, b: str) -> bool:
+        """No cut or partition from A to B."""
+        if self._side and self._side.get(a, 0) != self._side.get(b, 0):
+            return False
+        return not self._cuts or self._cuts.isdisjoint(((a, b), (a, EACH), (EACH, b)))
+
+    def draw(self, a: str, b: str, concern: str) -> random.Random:
+        """The random numbers of one concern of one link."""
+        stream = self._streams.get((a, b, concern))
+        if stream is None:
+            stream = self._streams[a, b, concern] = random.Random(f"{self.seed}/{a}/{b}/{concern}")
+        return stream
+
+    def fate(self, now: float, a: str, b: str, size: int) -> list[float]:
+        """A datagram: seconds until each of its copies comes; none if it is lost."""
+        link = self.rule(a, b)
+        lost = link.loss and self.draw(a, b, "loss").random() < link.loss
+        if lost or not self.open(a, b):
+            return []
+        wait = self._line(now, a, b, size, link)
+        if wait > QUEUED:
+            return []
+        copies = 1
+        if link.repeat and self.draw(a, b, "repeat").random() < link.repeat:
+            copies = 2
+        return [self._delay(a, b, link) + wait for _ in range(copies)]
+
+    def piece(self, now: float, a: str, b: str, size: int) -> float:
+        """A piece of a stream: seconds until it comes. What is lost is sent again, a little later; the caller
+        keeps the order and sends nothing over a cut."""
+        link = self.rule(a, b)
+        wait, again = self._line(now, a, b, size, link), 0
+        while again < 8 and link.loss and self.draw(a, b, "stream loss").random() < link.loss:
+            again += 1
+        return wait + again * max(0.2, 2 * link.delay_ms / 1000) + self._delay(a, b, link)
+
+    def _delay(self, a: str, b: str, link: Link) -> float:
+        delay = link.delay_ms / 1000
+        if link.jitter_ms:
+            delay += self.draw(a, b, "jitter").random() * link.jitter_ms / 1000
+        if link.reorder and self.draw(a, b, "reorder").random() < link.reorder:
+            delay += self.draw(a, b, "late").random() * LATE
+        return delay
+
+    def _line(self, now: float, a: str, b: str, size: int, link: Link) -> float:
+        """Seconds that a message waits for a slow link and is on it."""
+        if not link.rate:
+            return 0.0
+        done = max(now, self._free.get((a, b), 0.0)) + size / link.rate
+        if done - now <= QUEUED:
+            self._free[a, b] = done
+        return done - now
+
+
+CALM = Link(delay_ms=1, jitter_ms=20, reorder=0.01, repeat=0.01, loss=0.01)
+KINDS = ("crash", "restart", "pause", "part", "cut", "weather", "leave", "disk", "misjudge", "trip")
+
+
+def schedule(seed: int, names: Sequence[str], seconds: float, kinds: Sequence[str] = KINDS,
+             gap: float = 2.0) -> list[tuple]:
+    """Faults at random times, `gap` seconds apart on average, for `play`; at 0.7 of the time all are over."""
+    rng, at, end, script = random.Random(f"{seed}/schedule"), 0.0, 0.7 * seconds, []
+    while (at := at + rng.expovariate(1 / gap)) < end:
+        kind, name, other = rng.choice(kinds), rng.choice(names), rng.choice(names)
+        long = min(rng.choice((0.3, 2.0, 8.0, 20.0)) * rng.uniform(0.5, 1.5), end - at)
+        if kind in ("crash", "restart", "leave"):
+            script.append((at, "leave" if kind == "leave" else "crash", name))
+            disk = "kept" if kind != "crash" else rng.choice(("kept", "kept", "lost", "damaged"))
+            script.append((at + long, "start", name, disk))
+        elif kind == "pause":
+            script.append((at, "pause", name, long))
+        elif kind == "part":
+            mixed = rng.sample(names, len(names))
+            one, two = sorted(rng.randrange(len(names) + 1) for _ in range(2))
+            script += [(at, "net.part", mixed[:one], mixed[one:two]), (at + long, "net.heal")]
+        elif kind == "cut" and name != other:
+            script += [(at, "net.cut", name, other), (at + long, "net.heal")]
+        elif kind == "weather":
+            link = Link(rng.choice((0.1, 0.3)), repeat=rng.choice((0.0, 0.3)), reorder=rng.choice((0.0, 0.3)),
+                        delay_ms=rng.choice((5, 300)), jitter_ms=rng.choice((5, 500)))
+            script += [(at, "net.link", name, "*", link), (at + long, "net.link", name, "*", CALM)]
+        elif kind == "disk":
+            script += [(at, "disk", name, "full"), (at + long, "disk", name, "ok")]
+        elif kind == "misjudge" and name != other:
+            wrong = rng.choice((State.DEAD, State.SUSPECT, State.ALIVE))
+            script.append((at, "misjudge", name, other, wrong, long))
+        elif kind == "trip":
+            script += [(at, "trip", name, rng.randrange(4), rng.choice(("crash", "pause")), long),
+                       (at + long, "start", name)]
+    return [*script, (end, "calm")]
--- /dev/null
+++ b/tests/test_cluster.py
@@ -0,0 +1,335 @@
+"""The world on a virtual clock: it plays the same again, delivers what it should, and finds what is wrong."""
+from __future__ import annotations
+
+from collections import Counter
+
+import msgspec
+import pytest
+
+from aspenrill.errors import StateTrouble
+from aspenrill.fleet.interface import DRIFT, Agreed, Inform, Note, Post, Put, State, Store
+from standins.cluster import Broken, Cluster
+from standins.faults import Link, schedule
+from standins.peered import PeeredCluster
+
+NAMES = ["a", "b", "c", "d"]
+LEASE, MARGIN = 3.0, 0.05
+
+
+class Quiet:
+    """A part that does nothing."""
+
+    name, topics, period = "quiet", (), 0.5
+
+    def __init__(self, rng) -> None:
+        self.rng, self.log = rng, []
+
+    def on_start(self, now, view, stored):
+        self.view, self.stored = view, stored
+        return []
+
+    def on_member(self, now, member):
+        self.log.append((member.name, member.state))
+        return []
+
+    def on_entry(self, now, entry):
+        self.log.append((entry.origin, entry.value))
+        return []
+
+    def on_message(self, now, sender, incarnation, body):
+        self.log.append((sender, incarnation, body))
+        return []
+
+    def on_tick(self, now):
+        return []
+
+    def on_disk(self, now, key):
+        return [Note(f"no room for {key}")]
+
+    def on_leave(self, now):
+        return []
+
+
+class Lender(Quiet):
+    """Each process owns one unit. It lends it out by a lease, and asks for those of others."""
+
+    name = "lender"
+    from_request = waits = looks_at_use = True
+
+    def on_start(self, now, view, stored):
+        super().on_start(now, view, stored)
+        self.lent_until = now + LEASE * (1 + DRIFT) + MARGIN if self.waits else 0.0
+        self.asked, self.held, self.seen = {}, {}, now
+        return []
+
+    def on_tick(self, now):
+        self.seen = now
+        others = [n for n, m in self.view.members().items() if m.there and n != self.view.name]
+        if not others or self.rng.random() < 0.3:
+            return []
+        other = self.rng.choice(sorted(others))
+        self.asked[other] = now
+        return [Post(other, msgspec.msgpack.encode(["ask", now]))]
+
+    def on_message(self, now, sender, incarnation, body):
+        self.seen = now
+        try:
+            what, stamp = msgspec.msgpack.decode(body, type=tuple[str, float])
+        except msgspec.DecodeError:
+            return []
+        if what == "ask" and now >= self.lent_until:
+            self.lent_until = now + LEASE * (1 + DRIFT) + MARGIN
+            return [Post(sender, msgspec.msgpack.encode(["grant", stamp]))]
+        if what == "grant" and self.asked.get(sender) == stamp:
+            self.held[sender] = (self.asked.pop(sender) if self.from_request else now) + LEASE
+        return []
+
+    def may(self, now):
+        now = now if self.looks_at_use else self.seen
+        return (now >= self.lent_until) + sum(now < until for until in self.held.values())
+
+
+class FromReceipt(Lender):
+    from_request = False
+
+
+class Forgets(Lender):
+    waits = False
+
+
+class LooksBefore(Lender):
+    looks_at_use = False
+
+
+def never_more_than_the_whole(world):
+    held = sum(part.may(proc.clock()) for proc in world.running for part in proc.parts)
+    assert held <= len(world.procs), f"{held} units of {len(world.procs)}"
+
+
+def play(part, seed, seconds=60.0, names=NAMES, **more):
+    world = Cluster(seed, names, lambda name, rng: [part(rng)], checks=[never_more_than_the_whole], **more)
+    world.play(schedule(seed, names, seconds))
+    world.run(seconds)
+    return world
+
+
+def test_a_right_part_keeps_its_promise_and_lends():
+    lent = 0
+    for seed in range(25):
+        world = play(Lender, seed, garbage=0.1)
+        lent += sum(len(proc.part("lender").held) for proc in world.running)
+        assert len(world.running) == len(NAMES)
+    assert lent > 100
+
+
+@pytest.mark.parametrize("part", [FromReceipt, Forgets, LooksBefore])
+def test_a_planted_defect_is_found(part):
+    with pytest.raises(Broken, match=r"seed \d+, .* s: AssertionError: \d units of 4"):
+        for seed in range(60):
+            play(part, seed)
+
+
+def test_a_seed_plays_the_same_again():
+    def steps(seed):
+        world = play(Lender, seed, 30.0)
+        return world.steps, [(p.name, p.life, p.clock(), p.part("lender").held) for p in world.running]
+    assert steps(5) == steps(5) != steps(6)
+
+
+def quiet(*parts):
+    def make(name, rng):
+        return [part(rng) for part in parts or (Quiet,)]
+
+    world = Cluster(1, NAMES, make, link=Link(delay_ms=5))
+    assert world.until(lambda: sum(len(p.known) for p in world.running) == len(NAMES) ** 2, 10)
+    return world
+
+
+def test_a_death_is_noticed_and_a_restart_fences():
+    world = quiet()
+    world.crash("a")
+    assert world.until(lambda: all(p.known["a"].state is State.DEAD for p in world.running), 20)
+    assert ("a", State.SUSPECT) in world.procs["b"].part("quiet").log
+    world.start("a")
+    assert world.until(lambda: all(p.known["a"].state is State.ALIVE for p in world.running), 20)
+    assert {p.known["a"].incarnation for p in world.running} == {2}
+    world.leave("b")
+    assert world.until(lambda: all(p.known["b"].state is State.LEFT for p in world.running), 5)
+
+
+def test_each_side_of_a_partition_takes_the_other_for_dead_until_it_heals():
+    world = quiet()
+    world.net.part(["a", "b"])
+    dead = lambda: [sum(m.state is State.DEAD for m in p.known.values()) for p in world.running]  # noqa: E731
+    assert world.until(lambda: dead() == [2, 2, 2, 2], 20)
+    world.net.part(["a", "c"])
+    known = world.procs["a"].known
+    assert world.until(lambda: known["c"].there and not known["b"].there, 20)
+    world.net.heal()
+    assert world.until(lambda: dead() == [0, 0, 0, 0], 20)
+
+
+def test_entries_reach_all_over_a_partition_that_heals_and_end_when_empty():
+    class Teller(Quiet):
+        topics = ("t",)
+
+    world = quiet(Teller)
+    world.net.part(["a"])
+    world.do("a", lambda p: [Put("t", b"old"), Put("t", b"new")])
+    world.run(3)
+    assert world.procs["b"].entry("a", "t") is None
+    world.net.heal()
+    assert world.until(lambda: all(p.entry("a", "t") for p in world.running), 20)
+    assert ("a", b"new") in world.procs["b"].part("quiet").log
+    world.do("a", lambda p: [Put("t", b"")])
+    assert world.until(lambda: not any(list(p.entries("t")) for p in world.running), 20)
+
+
+def test_messages_are_lost_repeated_and_overtaken_as_the_link_says():
+    world = quiet()
+    for link, least, most in ((Link(), 100, 100), (Link(loss=0.5), 25, 75), (Link(repeat=1.0), 200, 200)):
+        world.net.link("a", "b", link)
+        log = world.procs["b"].part("quiet").log = []
+        for number in range(100):
+            world.do("a", lambda p, n=number: [Post("b", bytes([n]))])
+        world.run(1)
+        assert least <= sum(len(row) == 3 for row in log) <= most
+    world.net.link("a", "b", Link(jitter_ms=500))
+    log = world.procs["b"].part("quiet").log = []
+    for number in range(100):
+        world.do("a", lambda p, n=number: [Post("b", bytes([n]))])
+    world.run(1)
+    came = [row[2] for row in log if len(row) == 3]
+    assert sorted(came) == [bytes([n]) for n in range(100)] != came
+
+
+def test_a_paused_process_finds_all_that_came_and_its_clock_went_on():
+    world = quiet()
+    before = world.procs["a"].clock()
+    world.pause("a", 20.0)
+    for number in range(5):
+        world.do("b", lambda p, n=number: [Post("a", bytes([n]))])
+    world.run(19.0)
+    log = world.procs["a"].part("quiet").log
+    assert not [row for row in log if len(row) == 3] and world.procs["b"].known["a"].state is State.DEAD
+    world.run(2.0)
+    assert len([row for row in log if len(row) == 3]) == 5
+    assert abs(world.procs["a"].clock() - before - 21.0) < 21.0 * DRIFT
+
+
+def test_a_trip_falls_between_two_effects():
+    world = quiet()
+    world.trip("a", 1, "crash")
+    world.do("a", lambda p: [Store("k", b"1"), Store("k", b"2")])
+    assert not world.procs["a"].up and world.procs["a"].kept == {"quiet": {"k": b"1"}}
+    world.trip("b", 1, "pause", 5.0)
+    world.do("b", lambda p: [Store("k", b"1"), Store("k", b"2")])
+    assert world.procs["b"].kept == {"quiet": {"k": b"1"}}
+    world.run(6.0)
+    assert world.procs["b"].kept == {"quiet": {"k": b"2"}}
+
+
+def test_disks_are_full_lost_and_damaged():
+    class Careful(Quiet):
+        def on_start(self, now, view, stored):
+            if stored and stored["k"] != b"good":
+                raise StateTrouble("k")
+            return super().on_start(now, view, stored)
+
+    world = quiet(Careful)
+    world.do("a", lambda p: [Store("k", b"good")])
+    world.disk("a", "full")
+    world.do("a", lambda p: [Note("before"), Store("k", b"bad"), Note("behind")])
+    assert world.procs["a"].notes == ["before", "no room for k"]
+    for disk, stored in (("kept", {"k": b"good"}), ("damaged", None), ("lost", {})):
+        world.crash("a")
+        world.start("a", disk)
+        if stored is None:
+            assert isinstance(world.procs["a"].refused, StateTrouble) and not world.procs["a"].up
+        else:
+            assert world.procs["a"].part("quiet").stored == stored
+
+
+def test_what_is_agreed_goes_to_the_parts_that_follow_its_kind():
+    class Authority(Quiet):
+        name = "authority"
+
+    class Follower(Quiet):
+        name, kinds = "follower", ("split",)
+
+        def on_agreed(self, now, record):
+            return [Note(f"{record.kind} {record.number}")]
+
+    world = quiet(Quiet, Authority, Follower)
+    records = [Agreed(n, 1, kind, "k", b"") for n, kind in ((1, "split"), (2, "purge"), (3, "split"))]
+    world.do("a", lambda p: [Inform(record) for record in records], "authority")
+    assert world.procs["a"].notes == ["split 1", "split 3"] and len(world.procs["a"].facts) == 3
+    assert not world.procs["b"].notes
+
+
+@pytest.mark.parametrize("effect, text", [
+    (Post("b", b"x" * 901), "901 bytes"), (Put("t", b"x" * 601), "601 bytes"), ("nothing", "no effect")])
+def test_what_no_driver_carries_out_is_a_fault(effect, text):
+    class Wrong(Quiet):
+        def on_tick(self, now):
+            return [effect]
+
+    with pytest.raises(Broken, match=text):
+        quiet(Wrong).run(2)
+
+
+def test_schedules_hold_all_kinds_and_end_calm():
+    seen = Counter(row[1] for seed in range(20) for row in schedule(seed, NAMES, 60.0))
+    assert seen.keys() == {"crash", "start", "leave", "pause", "disk", "misjudge", "trip", "net.part",
+                           "net.cut", "net.link", "net.heal", "calm"}
+    assert schedule(3, NAMES, 60.0) == schedule(3, NAMES, 60.0) != schedule(4, NAMES, 60.0)
+
+
+def test_two_hundred_processes():
+    names = [f"p{n}" for n in range(200)]
+    world = play(Lender, 1, 3.0, names)
+    assert len(world.running) == 200 and world.steps > 2_000
+
+
+# ---- with the program's own peers ---------------------------------------------------------------------
+
+def play_peered(part, seed, seconds=60.0):
+    world = PeeredCluster(seed, NAMES, lambda name, rng: [part(rng)], checks=[never_more_than_the_whole])
+    world.play(schedule(seed, NAMES, seconds))
+    world.run(seconds)
+    return world
+
+
+def test_with_peers_a_right_part_keeps_its_promise_and_all_know_each_other_in_the_end():
+    lent = 0
+    for seed in range(8):
+        world = play_peered(Lender, seed)
+        assert [m.state for p in world.running for m in p.members().values()] == [State.ALIVE] * 16
+        lives = {p.name: p.incarnation for p in world.running}
+        assert all({m.name: m.incarnation for m in p.members().values()} == lives for p in world.running)
+        lent += sum(len(proc.part("lender").held) for proc in world.running)
+    assert lent > 30
+
+
+def test_with_peers_a_planted_defect_is_found():
+    with pytest.raises(Broken):
+        for seed in range(30):
+            play_peered(FromReceipt, seed)
+
+
+def test_with_peers_entries_and_messages_come_through_and_a_seed_plays_the_same_again():
+    class Teller(Quiet):
+        topics = ("t",)
+
+    def log(seed):
+        world = PeeredCluster(seed, NAMES, lambda name, rng: [Teller(rng)], link=Link(delay_ms=5))
+        assert world.until(lambda: sum(len(p.members()) for p in world.running) == 16, 20)
+        world.do("a", lambda p: [Put("t", b"told"), Post("b", b"sent"), Post("a", b"to myself")])
+        assert world.until(lambda: all(p.entry("a", "t") for p in world.running), 20)
+        world.leave("c")
+        assert world.until(lambda: all(p.members()["c"].state is State.LEFT for p in world.running), 20)
+        return [p.part("quiet").log for p in world.running]
+
+    logs = log(1)
+    assert ("a", 1, b"to myself") in logs[0] and ("a", 1, b"sent") in logs[1] and ("a", b"told") in logs[2]
+    assert logs == log(1) != log(2)
