--- /dev/null
+++ b/tests/test_groups_splits.py
@@ -0,0 +1,302 @@
+"""Splits happen once or not at all: many processes and seeds, a state machine, and planted defects."""
+from __future__ import annotations
+
+import random
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from aspenrill.api import EngineEntry, EngineState, ListMode, ListUpdate
+from aspenrill.errors import DiskTrouble
+from aspenrill.fleet.groups import counts, owner_file
+from aspenrill.fleet.groups.part import Groups
+from aspenrill.fleet.groups.records import Shape, Split, Step, pack
+from aspenrill.fleet.groups.route import Map, Router, order, part_of
+from aspenrill.fleet.groups.splits import Facts, SplitNews, SplitRules, Splits
+from aspenrill.fleet.interface import Agreed
+from aspenrill.state import Fleet
+from standins.cluster import Broken
+from standins.faults import schedule
+from standins.groups import ENGINES, Ledger, Scene
+
+
+def storm(seed: int, count: int, kind: type[Groups] = Groups, seconds: float = 50.0) -> Scene:
+    """Faults of all kinds, storms and operators who call splits off; then calm until all is done."""
+    rng, scene = random.Random(f"{seed}/storm"), Scene(seed, count, kind)
+    scene.world.play(schedule(seed, scene.world.names, seconds, gap=0.7))
+    for _ in range(5):
+        scene.storm, scene.outage = rng.random() < 0.2, rng.random() < 0.1
+        for split in list(scene.ledger.splits):
+            if rng.random() < 0.2:
+                scene.world.do(rng.choice(scene.world.names), lambda proc, split=split: proc.part(
+                    "groups").call_off(proc.clock(), split), "groups")
+        scene.world.run(seconds / 5)
+    scene.finish()
+    return scene
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_each_split_happens_once_whatever_fails(seed):
+    storm(seed, random.Random(seed).choice((3, 5, 7, 9)))
+
+
+def test_fifty_processes():
+    storm(1, 50, seconds=6.0)
+
+
+@pytest.mark.parametrize("what", ["propose", "append"])
+def test_a_coordinator_killed_at_each_step(what):
+    for number in range(1, 21, 2 if what == "propose" else 3):
+        scene = Scene(number, 3)
+        scene.ledger.kill = what, number
+        scene.finish()
+        assert scene.ledger.done[what] >= number and scene.ledger.epoch >= 2
+
+
+def test_a_minority_plans_nothing_and_keeps_its_map():
+    scene = Scene(5, 5)
+    scene.world.run(5.0)
+    held = {name: scene.world.procs[name].part("groups").splits.map.version for name in ("p00", "p01")}
+    scene.world.net.part(["p00", "p01"], ["p02", "p03", "p04"])
+    scene.world.run(90.0)
+    minority = [scene.world.procs[name].part("groups") for name in held]
+    assert scene.ledger.version == 4 and [g.splits.map.version for g in minority] == list(held.values())
+    assert not any(g.splits.acts(0.0) or g.splits.open for g in minority)
+    scene.world.net.heal()
+    scene.finish()
+
+
+def test_neither_storm_nor_outage_nor_silence_of_the_owner_sees_a_step():
+    for field in ("storm", "outage"):
+        scene = Scene(6, 3)
+        setattr(scene, field, True)
+        scene.world.run(60.0)
+        assert not scene.ledger.log
+    splits = Splits(SplitRules(), None, Router())
+    splits.tell(0.0, Facts(False, False, ENGINES))
+    assert splits.quiet(30.0) and not splits.quiet(31.0) and not splits.quiet(-1.0)
+
+
+# ---- planted defects ----------------------------------------------------------------------------------
+
+class Changed(Groups):
+    """Groups whose splits are of another class."""
+
+    splits_kind: type[Splits]
+
+    def __init__(self, rules, authority, hour_of):
+        super().__init__(rules, authority, hour_of)
+        self.splits = self.splits_kind(rules.splits, authority, self.splits.router)
+
+
+class BeforeAgreed(Splits):
+    def propose_record(self, now, kind, key, body):
+        effects = super().propose_record(now, kind, key, body)
+        if (kind, key) in self.open:
+            effects += self.on_agreed(now, Agreed(0, 0, kind, key, body))
+        return effects
+
+
+class RepeatsWithEffect(Splits):
+    def on_agreed(self, now, record):
+        self.splits.pop(record.key, None)
+        return super().on_agreed(now, record)
+
+
+class IgnoresTheMap(Splits):
+    def allowed(self, group, key):
+        return self.router.allowed([Map()], group, key)
+
+
+class PlansInMinority(Splits):
+    def acts(self, now):
+        return True
+
+    def propose_record(self, now, kind, key, body):
+        return self.authority.propose(now, kind, key, body)
+
+
+class DropsAfterTheSwitch(Splits):
+    def in_map(self, split):
+        return False
+
+
+class TwoVersionsAtOnce(Splits):
+    def _switch(self, now, split):
+        shape = Shape(self.map.version + 1, split.group, split.parts, split.id)
+        return self.propose_record(now, "map", str(split.group), pack(shape))
+
+
+class AllAtOnce(Splits):
+    def _turn(self, split):
+        return True
+
+
+class SaysTwoThings(Splits):
+    """Something else is proposed while a proposal is open."""
+
+    def tick(self, now, hour, off, wanted, spread):
+        if any(kind == "map" for kind, _ in self.open):
+            self.open.clear()
+            off = list(self.splits)
+        return super().tick(now, hour, off, wanted, spread)
+
+
+class DoubleCount(Groups):
+    """Counters are added, not merged by the larger."""
+
+    def on_start(self, now, view, stored):
+        effects = super().on_start(now, view, stored)
+        put = self.counts._put
+
+        def added(origin, group, hour, value):
+            told = self.counts.hours.get(hour, counts.HourBook()).told.get(origin, counts.Told())
+            old = told.groups.get(group, counts.NONE) if origin != self.counts.me else counts.NONE
+            return put(origin, group, hour, counts.plus(old, value))
+        self.counts._put = added
+        return effects
+
+
+DEFECTS = [BeforeAgreed, RepeatsWithEffect, IgnoresTheMap, PlansInMinority, DropsAfterTheSwitch,
+           TwoVersionsAtOnce, AllAtOnce, SaysTwoThings]
+
+
+@pytest.mark.parametrize("defect", [*DEFECTS, DoubleCount])
+def test_a_planted_defect_is_caught(defect):
+    kind = defect
+    if issubclass(defect, Splits):
+        kind = type(defect.__name__, (Changed,), {"splits_kind": defect})
+    with pytest.raises((Broken, AssertionError)):
+        for seed in range(20):
+            storm(seed, 5, kind, 40.0)
+
+
+# ---- the steps alone, against a log that loses, repeats and comes late ----------------------------------
+
+class Steps(RuleBasedStateMachine):
+    """Two who may coordinate, one after the other, and one log."""
+
+    def __init__(self):
+        super().__init__()
+        self.ledger, self.now, self.hour, self.waiting = Ledger(random.Random(1), 2), 0.0, 10, []
+        self.who, self.epoch_, self.ready = 0, 1, True
+        self.nodes = [self.fresh(n) for n in range(2)]
+        self.given = [0, 0]
+
+    def fresh(self, number):
+        machine = self
+
+        class Mine:
+            def coordinating(self, now):
+                return machine.epoch_ if machine.who == number else None
+
+            def settled(self, now):
+                return machine.who == number and machine.given[number] == len(machine.ledger.log)
+
+            def propose(self, now, kind, key, body):
+                assert machine.who == number
+                machine.waiting.append((kind, key, body))
+                return []
+        rules = SplitRules(notice=1, warm=1, spread=1, again=2, rest=5, forget=1e9)
+        node = Splits(rules, Mine(), Router(ENGINES))
+        node.tell(0.0, Facts(False, False, ENGINES))
+        return node
+
+    @rule(seconds=st.sampled_from([0.5, 1.5, 3.0]), off=st.booleans(), storm_=st.booleans(),
+          late=st.booleans())
+    def tick(self, seconds, off, storm_, late):
+        self.now += seconds
+        self.hour += late
+        node = self.nodes[self.who]
+        node.tell(self.now, Facts(storm_, False, ENGINES))
+        node.tick(self.now, self.hour, list(node.splits) if off else (), lambda s: None, lambda v: False)
+
+    @rule(group=st.sampled_from([1, 2, 3]))
+    def plan(self, group):
+        node = self.nodes[self.who]
+        if node.acts(self.now) and node.free(group, self.now):
+            was = node.map.parts(group)
+            node.propose(self.now, Split(f"{group}/{self.hour}/{node.map.version}", group, was, was * 2,
+                                         Step.PROPOSED, self.hour, self.hour + 9, (f"e{group}",)))
+
+    @precondition(lambda self: self.waiting)
+    @rule()
+    def agree(self):
+        self.ledger.append(*self.waiting.pop(0))
+
+    @rule(late=st.booleans())
+    def hear(self, late):
+        for number, node in enumerate(self.nodes):
+            new = self.ledger.log[self.given[number]:]
+            last = {(r.kind, r.key): r.number for r in new}
+            for record in new:
+                if not late or last[record.kind, record.key] == record.number:
+                    node.on_agreed(self.now, record)
+            self.given[number] = len(self.ledger.log)
+
+    @rule(kept=st.integers(0, 3), crash=st.booleans())
+    def take_over(self, kept, crash):
+        for item in self.waiting[:kept]:
+            self.ledger.append(*item)
+        self.waiting.clear()
+        if crash:
+            self.nodes[self.who], self.given[self.who] = self.fresh(self.who), 0
+        self.who, self.epoch_ = 1 - self.who, self.epoch_ + 1
+
+    @invariant()
+    def all_agreed(self):
+        for node in self.nodes:
+            assert all(("split", s) in self.ledger.states for s in node.splits.values())
+            assert all(("map", s) in self.ledger.states for s in node.map.shapes.values())
+
+
+def test_steps_under_any_order_of_events():
+    run_state_machine_as_test(Steps, settings=settings(
+        max_examples=120, stateful_step_count=40, derandomize=True, deadline=None, database=None))
+
+
+# ---- routes and the owner's file ------------------------------------------------------------------------
+
+def test_a_group_never_split_is_at_home_where_it_is_without_the_fleet():
+    fleet = Fleet((8,), ())
+    fleet.apply(ListUpdate(ListMode.COMPLETE, tuple(EngineEntry(e, EngineState.LIVE) for e in ENGINES)), 0.0)
+    for group in range(50):
+        assert order(group, 0, ENGINES) == tuple(e.entry.engine for e in fleet.order(group))
+
+
+def test_doubling_moves_keys_into_the_new_part_alone_and_parts_have_homes_of_their_own():
+    keys = [str(n).encode() for n in range(2000)]
+    for parts in (1, 2, 4):
+        moved = [part_of(17, k, 2 * parts) - part_of(17, k, parts) for k in keys]
+        assert set(moved) == {0, parts} and 850 < sum(m > 0 for m in moved) < 1150
+    router, one, two = Router(ENGINES), Map(), Map().with_shape(Shape(1, 17, 2, "s"))
+    assert two.with_shape(Shape(1, 17, 4, "t")) is two and part_of(17, None, 8) == 0
+    assert len({router.part_order(g, p)[0] for g in range(40) for p in range(2)}) >= 10
+    for key in keys[:50]:
+        homes = router.allowed([one, two], 17, key)
+        assert homes[0] == router.order(two, 17, key)[0] and router.order(one, 17, key)[0] in homes
+
+
+def test_the_owners_file_is_whole_or_not_at_all(tmp_path, monkeypatch):
+    path = tmp_path / "splits.json"
+    split = Split("s", 17, 1, 2, Step.AGREED, 5, 9, ("e1", "e2"))
+    first, second = SplitNews((split,), Map()), SplitNews((split,), Map().with_shape(Shape(1, 17, 2, "s")))
+    assert owner_file.write(path, first) and not owner_file.write(path, first)
+    before = path.read_bytes()
+
+    def full(_):
+        raise OSError(28, "No space left on device")
+    monkeypatch.setattr(owner_file.os, "fsync", full)
+    with pytest.raises(DiskTrouble, match="No space left"):
+        owner_file.write(path, second)
+    assert path.read_bytes() == before and [p.name for p in tmp_path.iterdir()] == ["splits.json"]
+    monkeypatch.undo()
+    assert owner_file.write(path, second) and b'"parts": 2' in path.read_bytes()
