--- /dev/null
+++ b/aspenrill/fleet/kept/policy.py
@@ -0,0 +1,99 @@
+"""Whose answers are kept and for how long: `[fleet.kept]` and `[fleet.purges]`, each fault by its field.
+
+    [fleet.kept]
+    enabled = true
+    most_mb = 32
+    [[fleet.kept.class]]
+    name = "lookup"        # a class whose effect is repeatable, and no load
+    seconds = 5.0
+    tenants = ["shop"]     # none named: all
+
+    [fleet.purges]
+    lease_s = 6.0
+    folder = "/var/lib/aspenrill/purges"
+"""
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from ... import api
+from ...reader import Reader, unique
+from .store import Bounds
+
+
+@dataclass(frozen=True, slots=True)
+class Rule:
+    """One class: its name, seconds for which an answer is kept from when its query was sent, and whose."""
+
+    name: str
+    seconds: float
+    tenants: frozenset[int] | None = None  # None: all
+
+
+@dataclass(frozen=True, slots=True)
+class Policy:
+    """`joins`: that wait for one fetch; `wait`: seconds that each of them waits at most; `loads`: classes
+    that write, by their number."""
+
+    rules: dict[int, Rule] = field(default_factory=dict)
+    loads: frozenset[int] = frozenset()
+    bounds: Bounds = Bounds()
+    joins: int = 64
+    wait: float = 1.0
+
+    def rule(self, cls: int, tenant: int) -> Rule | None:
+        """The rule for a request; None where its answer is not kept."""
+        rule = self.rules.get(cls)
+        return rule if rule is not None and (rule.tenants is None or tenant in rule.tenants) else None
+
+
+@dataclass(frozen=True, slots=True)
+class PurgeSettings:
+    """`lease`: seconds for which the coordinator lets answers be served; `folder`: where the operator's
+    purges are put, `state`: the file that tells how they stand. Empty: none."""
+
+    lease: float = 6.0
+    folder: str = ""
+    state: str = ""
+
+
+def read_kept(fleet: Reader, names: Sequence[str], classes: Sequence[api.QueryClass],
+              tenants: Sequence[str]) -> Policy:
+    """The policy of `[fleet.kept]`; nothing is kept where it is absent or off. Faults go to the reader."""
+    row = fleet.table_of("kept")
+    on = row.flag("enabled", False)
+    bounds = Bounds(int(row.number("most_entries", 10_000, 1, 10_000_000)),
+                    int(row.number("most_mb", 32, 1, 1 << 16) * (1 << 20)),
+                    int(row.number("most_answer_kb", 256, 1, 1 << 16) * 1024))
+    joins, wait = int(row.number("joins", 64, 0, 10_000)), row.number("wait_ms", 1000, 1, 3_600_000) / 1000
+    rules: dict[int, Rule] = {}
+    listed = []
+    for table in row.tables("class"):
+        name, seconds = table.choice("name", tuple(names)), table.number("seconds", None, 0.05, 3600)
+        whose = table.texts("tenants")
+        for tenant in whose:
+            if tenant not in tenants:
+                table.fault("tenants", f"no such tenant: {tenant!r}")
+        listed.append(name)
+        if name in names:
+            cls = names.index(name)
+            if classes[cls].effect is not api.Effect.SAFE or classes[cls].is_load:
+                table.fault("name", f"answers of {name} cannot be kept: its effect is not repeatable, or it "
+                                    "is a load")
+            rules[cls] = Rule(name, seconds, frozenset(
+                tenants.index(tenant) for tenant in whose if tenant in tenants) if whose else None)
+        table.end()
+    unique(row, "class", listed)
+    row.end()
+    loads = frozenset(at for at, cls in enumerate(classes) if cls.is_load)
+    return Policy(rules if on else {}, loads, bounds, joins, wait)
+
+
+def read_purges(fleet: Reader) -> PurgeSettings:
+    """`[fleet.purges]`. Faults go to the reader."""
+    row = fleet.table_of("purges")
+    found = PurgeSettings(row.number("lease_s", 6.0, 1.0, 60.0), row.text("folder", ""),
+                          row.text("state", ""))
+    row.end()
+    return found
