Room that nobody claims is shared where engines tell what they hold; module in files

Load from 'inflight' pressed on its own (engine.load), halving the limit at 1.87 threads a core. The module is split into files of one concern; estimates of work and slowdown went to the records that they change.

--- a/aspenrill/state.py
+++ b/aspenrill/state.py
@@ -10,6 +10,10 @@
 
 LEAST_SHARE = 0.01  # of the mean weight, that an engine of weight 0 counts for
 MOST_ORDERS = 256  # data sets whose order of engines is kept
+SLOW_FOR = 5.0  # seconds in which an engine's own slowdown fades to the fleet's
+STEP = 0.1  # weight of a new answer in a running mean
+FLOOR_DOWN, FLOOR_UP = 0.005, 0.002  # steps of the running low quantile that stands for the work of a query
+GROW, SHRINK, HASTE = 1.03, 0.99, 20  # steps of the memory factor; how many for the first
 
 
 def trim(times: deque, before: float) -> deque:
@@ -46,10 +50,26 @@
         self.memory, self.fitted = 1.0, 0  # need over estimate, and how often it was stepped
         self.asked = self.usual_work()  # work asked so far; only its share among the classes counts
 
-    def step(self, factor: float, haste: float) -> None:
-        """Step the memory factor: `haste` times at first, then ever less, down to once."""
+    def answered(self, latency: float, hint: float | None, told: float | None) -> tuple[float, float]:
+        """Core-seconds of a query that took `latency`, and its slowdown: by what its answer told, else by the
+        estimate `hint` and a low quantile of time over estimate, which stands for the work."""
+        latency = max(1e-3, latency)
+        spent = latency * self.spec.threads
+        self.latency = blend(self.latency, latency, STEP)
+        hint = hint or self.work or spent
+        ratio = (told or spent) / hint
+        if told or self.scale is None:
+            self.scale = blend(self.scale, ratio, STEP)
+        else:
+            self.scale *= 1 + FLOOR_UP if ratio > self.scale else 1 - FLOOR_DOWN
+        busy = told or self.scale * hint
+        self.work = busy + (1 - STEP) * ((self.work or busy) - busy)
+        return busy, max(0.1, spent / max(1e-3, busy))
+
+    def step(self, short: bool) -> None:
+        """Step the factor of the memory wanted: far at first, then ever less. One in four wants more."""
         self.fitted += 1
-        self.memory *= factor ** max(1.0, haste / self.fitted)
+        self.memory *= (GROW if short else SHRINK) ** max(1.0, HASTE / self.fitted)
 
     def account(self, now: float, share: float, debt: float) -> float:
         """Thread-seconds of its share, `share` threads since last asked, that it has not used, within bounds:
@@ -70,8 +90,9 @@
         self.classes = classes
         self.update()
 
-    def count(self, learned: Learned, fade: float) -> None:
-        """One more request of a class; what was asked before fades by this share."""
+    def count(self, learned: Learned, fade: float, memory: float) -> None:
+        """One more request of a class, with its memory; what was asked before fades by this share."""
+        learned.need = memory * STEP + learned.need * (1 - STEP)
         for known in self.classes:
             known.asked *= 1 - fade
         learned.asked += learned.usual_work()
@@ -150,8 +171,13 @@
         self.strikes = 0  # errors and broken connections since its last good answer
         self.failed_at = -math.inf  # news of a failure, not yet contradicted
         self.load, self.heard_at = 0.0, -math.inf  # as reported, and when it was told
+        self.mine, self.others = 0, None  # own threads then, and others'; None where nothing tells of them
         self.turns: dict[int, float] = {}  # while cold: when each class may next go there
 
+    def slowdown(self, now: float, ordinary: float) -> float:
+        """That of its last answers, which fades to the fleet's `ordinary` one."""
+        return ordinary * (self.slow / ordinary) ** math.exp((self.slow_at - now) / SLOW_FOR)
+
     @property
     def healthy(self) -> bool:
         """Not ejected."""
@@ -176,6 +202,11 @@
         self.ran_on: Engine | None = None
         self.in_line = False  # of its ordered key
 
+    def may_have_run(self, engine: Engine | None, may: bool) -> None:
+        """If the attempt sent last may have run there, and none before it: that counts from now on."""
+        if may and self.ran_at is None:
+            self.ran_at, self.ran_on = self.sent_at, engine
+
 
 class Fleet:
     """The engine list as this gateway was told it."""
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -8,7 +8,9 @@
 
 from aspenrill import api
 from aspenrill.api import AttemptEnded, Effect, EngineEntry, EngineState, ListMode, ListUpdate, Outcome
-from aspenrill.control import LADDER, NEWS_COST, SPEND, TOP, Gateway
+from aspenrill.control import Gateway
+from aspenrill.policy.admission import LADDER, SPEND, TOP
+from aspenrill.policy.figures import NEWS_COST
 from aspenrill.state import pack_news
 
 LOOKUP = api.QueryClass(aim=1.0, patience=5.0, effect=Effect.SAFE)
@@ -198,7 +200,7 @@
 
 def test_an_error_puts_no_engine_out_that_answers(monkeypatch):
     # queries that no engine can use, and spoilt answers, put out one healthy engine after another
-    monkeypatch.setattr("aspenrill.control.MOST_OUT", 1.0)
+    monkeypatch.setattr("aspenrill.policy.view.MOST_OUT", 1.0)
     g = gateway("a", may_probe=True)
     bad = (Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED, Outcome.ERROR)
     for at, outcome in enumerate((*bad, Outcome.OK, *bad)):
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -6,7 +6,9 @@
 
 from aspenrill import api
 from aspenrill.api import AttemptEnded, Effect, EngineEntry, EngineState, ListMode, ListUpdate, Outcome
-from aspenrill.control import AT_EASE, LOOK, PROBED, PROBES, THREADS_A_CORE, Gateway
+from aspenrill.control import PROBED, Gateway
+from aspenrill.policy.choice import AT_EASE
+from aspenrill.policy.figures import LOOK, PROBES, THREADS_A_CORE
 from aspenrill.state import pack_news
 
 LOOKUP = api.QueryClass(aim=1.0, patience=5.0, effect=Effect.SAFE)
