Readers leave engines where a load holds their group; attempts bounded under a gap

Change: such a note marks the group as held there for 2 s, a safe query that waits in its first attempt starts afresh elsewhere, choice keeps readers away; under a gap, where no priority keeps long work aside, an attempt has the time limit that told costs give.

--- a/aspenrill/control.py
+++ b/aspenrill/control.py
@@ -29,12 +29,10 @@
         self.lines, self.key_rest = Lines(), {}  # ordered keys: who came, in order; until when a key rests
         self.taken, self.extra, self.starts, self.entered, self.lost = (deque() for _ in range(5))  # times
         self.rung, self.base_gap, self.next_entry, self.gap_until, self.look_at = 0, 0.0, 0.0, 0.0, now
-        self.part, self.freed = 0.0, None  # warm cores for it; the kind last ended
         self.thin = self.sparse = self.news = self.paging = False  # own threads say too little; others tell
         self.ordinary = UNKNOWN if settings.gateways > LOOK else 1.0  # the fleet's slowdown
-        self.homes, self.mean_load, self.mean_at = [], 0.0, now  # where a sparse one sends; load as told
-        self.shed_after = shed_after(settings)
-        self.mix, self.met = Mix(self.classes), {}  # engines that own answers told of, and when
+        self.homes, self.mean_load, self.mean_at, self.part, self.freed = [], 0.0, now, 0.0, None
+        self.mix, self.shed_after, self.met = Mix(self.classes), shed_after(settings), {}  # met: told by own
         self.readers_wait = any(c.waits_for_loads for c in settings.classes)
         self.timer_at, self.list_retry, self.back_at = math.inf, math.inf, now
         self.earned = min(PROBES, PROBED / max(1e-9, settings.probe_price))  # probes, by each request
@@ -60,8 +58,10 @@
                 self._on_probe(self.fleet.engines[event.engine], event)
             case api.ClientGone(request) if request in self.queries:
                 self._end(self.queries[request], gone=True)
-            case api.Closing():
-                self._close()
+            case api.Closing():  # all get their answers; what is out may have run
+                for query in list(self.queries.values()):
+                    query.may_have_run(query.engine, query.engine is not None)
+                    self._end(query)
             case api.TimerDue() if now >= self.timer_at - 1e-6:
                 self.timer_at = math.inf
                 self._watch()
@@ -73,8 +73,3 @@
             self.timer_at = now + wait
             self.actions.append(api.SetTimer(wait, "look"))
         return self.actions
-
-    def _close(self) -> None:  # all get their answers; what is out may have run
-        for query in list(self.queries.values()):
-            query.may_have_run(query.engine, query.engine is not None)
-            self._end(query)
--- a/aspenrill/policy/choice.py
+++ b/aspenrill/policy/choice.py
@@ -9,7 +9,7 @@
 AT_EASE = 1.3  # times the limit for short work, where it binds a gateway's threads at all engines together
 EASE, DEBT = 2.0, 2.0  # power of missing pressure that widens the limit; usual queries over a class's share
 PRESSED = 1.1  # load a core, as an engine reports it, that presses
-APART = 1.0  # threads a core that the place in a data set's order of engines may outweigh
+APART, HELD = 1.0, 2.0  # threads a core that the place in a data set's order may outweigh; a load on it
 
 
 class Choice:
@@ -68,7 +68,7 @@
         return self.sparse and known.account(self.now, self.mix.share(known) * self._cap(), DEBT)
 
     def _start(self, query: Query) -> bool:
-        """Send to the engine with the fewest own threads a core among those that may take it."""
+        """To the engine with fewest own threads a core among those that may take it; of equals by chance."""
         some = self.live if len(self.live) <= LOOK else self.random.sample(self.live, LOOK)
         fits = not self.sparse or self._fits(query)
         if self.sparse:
@@ -91,11 +91,11 @@
             elif self.readers_wait and not self.thin:
                 place = self.fleet.order(query.ask.data_set).index(engine) / len(self.live)
                 load += APART * (1 - place if spec.is_load else place)
+                load += HELD * (spec.waits_for_loads and engine.held(query.ask.data_set, self.now))
             if self.sparse:  # all see the same cores: by chance, or all would choose the same engines
                 load = self.random.expovariate(able) * (1 + engine.threads) * self._slow(engine) ** 2
                 load *= self.now >= engine.cold_until  # a turn that is not used is lost
                 load += 1e3 * (engine.entry.engine in query.attempts)
-            # of equals by chance, or all gateways would choose the same; each as often as its SRV weight says
             tie = self.random.expovariate(able) if self.fleet.weighed else self.random.random()
             if (load, tie) < best_load:
                 best, best_load = engine, (load, tie)
--- a/aspenrill/policy/outcomes.py
+++ b/aspenrill/policy/outcomes.py
@@ -3,9 +3,9 @@
 from ..state import STEP, Engine, Query, blend
 from .figures import FULL_FOR, JAMMED, OVERDUE, TICK
 
-HEAVY, SLOW_STEP = 4.0, 0.4  # most an answer weighs, against a usual one; its weight in its engine's slowdown
+HEAVY, SLOW_STEP = 4.0, 0.4  # most an answer weighs; weight of one in its engine's own slowdown
 FAULTY, SLOWEST = 3.0, 1e3  # times slower that an engine counts with each error, and the most by errors
-STRIKES = 5  # errors and broken connections in a row that put an engine out; before, it is asked
+STRIKES, FOR_LOAD = 5, 2  # failures in a row that put an engine out; what a note says of a load
 PLANS, REPLAN = 4.0, 0.002  # starts afresh that a class has to its credit, and what an answer adds
 
 
@@ -73,10 +73,15 @@
         if query.engine is None or note.attempt != len(query.attempts) - 1:
             return
         query.spilled |= note.kind is api.NoteKind.SPILLS
-        if note.kind is api.NoteKind.PROGRESS and note.amount > 0 and self.set.may_cancel:
+        learned, bad, still = self.classes[query.ask.cls], False, False
+        if note.kind is api.NoteKind.PROGRESS and note.amount > 0:
             left = (self.now - query.sent_at) * (1 - note.amount) / note.amount
-            if left > OVERDUE * query.expected * self.ordinary and self._may_repeat(query, query.engine):
-                learned = self.classes[query.ask.cls]  # once: if it is as long as this, it is so again
-                if not query.afresh and learned.plans >= 1.0 and learned.spec.effect is not api.Effect.UNSAFE:
-                    query.afresh, learned.plans = True, learned.plans - 1.0
-                    self.actions.append(api.Cancel(note.request, note.attempt))  # a bad plan: start afresh
+            once = not query.afresh and learned.plans >= 1.0 and learned.spec.effect is not api.Effect.UNSAFE
+            bad = once and left > OVERDUE * query.expected * self.ordinary  # if as long again, it is so
+        elif note.kind is api.NoteKind.WAITS and note.amount == FOR_LOAD:
+            query.engine.hold(query.ask.data_set, self.now)
+            first = len(query.attempts) == 1 and self._tt(query) > 0
+            still = first and learned.spec.effect is api.Effect.SAFE
+        if (bad or still) and self.set.may_cancel and self._may_repeat(query, query.engine):
+            query.afresh, learned.plans = query.afresh or bad, learned.plans - bad
+            self.actions.append(api.Cancel(note.request, note.attempt))  # afresh: a bad plan, or nothing done
--- a/aspenrill/policy/sending.py
+++ b/aspenrill/policy/sending.py
@@ -76,6 +76,7 @@
         limit = OVERDUE * query.expected * self.ordinary  # an answer may be lost; a cancel frees the work
         limit = min(limit, max(limit / 2, self._tt(query)))  # in time for another, but a fair one first
         slow = self.thin and self.set.costs_told and self.ordinary > PRESSURE  # told costs prove it
+        slow |= bool(self.rung) and not self.thin and not self.set.priorities_heeded  # it is in the way
         again = self.set.may_cancel and len(query.attempts) < self.set.most_attempts
         limit *= slow and again and learned.spec.effect is not api.Effect.UNSAFE
         engine.out[ask.request] = self.out[ask.request] = query
--- a/aspenrill/policy/view.py
+++ b/aspenrill/policy/view.py
@@ -27,9 +27,8 @@
         self.thin = few and (asks or self.set.may_tell and not self.set.may_probe)
         self.sparse = few and not self.thin  # nor does anyone tell of them: this gateway's part of all counts
         self.news = self.thin and not asks  # and gateways tell each other of them
-        order, count = self.fleet.order(-1) if self.sparse else [], len(self.live)
-        first = self.set.me * count // self.set.gateways
-        self.homes = (order + order)[first:first + min(LOOK, count)]
+        order = 2 * self.fleet.order(-1) if self.sparse else []  # round once more
+        self.homes = order[self.set.me * len(self.live) // self.set.gateways:][:min(LOOK, len(self.live))]
         self.paging = self.news and self.set.shortage_pages  # a jam feeds itself
         self._measure()
 
--- a/aspenrill/state.py
+++ b/aspenrill/state.py
@@ -11,6 +11,7 @@
 LEAST_SHARE = 0.01  # of the mean weight, that an engine of weight 0 counts for
 MOST_ORDERS = 256  # data sets whose order of engines is kept
 SLOW_FOR = 5.0  # seconds in which an engine's own slowdown fades to the fleet's
+HOLDS_FOR = 2.0  # seconds that a load told of by a query that waits is taken to hold its group
 STEP = 0.1  # weight of a new answer in a running mean
 FLOOR_DOWN, FLOOR_UP = 0.005, 0.002  # steps of the running low quantile that stands for the work of a query
 GROW, SHRINK, HASTE = 1.03, 0.99, 20  # steps of the memory factor; how many for the first
@@ -171,9 +172,19 @@
         self.strikes = 0  # errors and broken connections since its last good answer
         self.failed_at = -math.inf  # news of a failure, not yet contradicted
         self.load, self.heard_at = 0.0, -math.inf  # as reported, and when it was told
+        self.holds: dict[int | None, float] = {}  # when queries of ours were told to wait for loads there
         self.mine, self.others = 0, None  # own threads then, and others'; None where nothing tells of them
         self.turns: dict[int, float] = {}  # while cold: when each class may next go there
 
+    def hold(self, group: int | None, now: float) -> None:
+        """A query of ours is told to stand still there for a load of this group."""
+        self.holds = {g: at for g, at in self.holds.items() if at > now - HOLDS_FOR}
+        self.holds[group] = now
+
+    def held(self, group: int | None, now: float) -> bool:
+        """Whether readers of the group stand still there, as far as is known."""
+        return bool(self.loads.get(group)) or now < self.holds.get(group, -math.inf) + HOLDS_FOR
+
     def slowdown(self, now: float, ordinary: float) -> float:
         """That of its last answers, which fades to the fleet's `ordinary` one."""
         return ordinary * (self.slow / ordinary) ** math.exp((self.slow_at - now) / SLOW_FOR)
--- a/tests/test_told_room.py
+++ b/tests/test_told_room.py
@@ -62,3 +62,48 @@
     for number in range(12):
         g.handle(7.0, api.Request(f"late{number}", 0, 9.0))
     assert engine.threads == 5
+
+
+
+def sent(actions) -> list[api.Send]:
+    return [a for a in actions if isinstance(a, api.Send)]
+
+
+def reading(effect=Effect.SAFE) -> Gateway:
+    reader = api.QueryClass(aim=2.0, patience=9.0, effect=effect, waits_for_loads=True)
+    g = Gateway(api.Settings(classes=(reader,), cores_by_kind=(8,), may_cancel=True), 1, 0.0)
+    g.handle(0.0, ListUpdate(ListMode.REMEMBERED, tuple(
+        EngineEntry(name, EngineState.LIVE) for name in "abc")))
+    g.classes[0].latency = 0.3
+    return g
+
+
+def test_a_reader_that_waits_for_a_load_starts_afresh_elsewhere_and_others_keep_away():
+    g = reading()
+    first = sent(g.handle(0.1, api.Request("r", 0, 9.0, data_set=7)))[0].engine
+    said = g.handle(0.3, api.AttemptNote("r", 0, first, api.NoteKind.WAITS, 2))
+    assert api.Cancel("r", 0) in said
+    moved = sent(g.handle(0.31, AttemptEnded("r", 0, first, Outcome.CANCELLED, 0.2, False)))
+    assert moved and moved[0].engine != first
+    for number in range(8):
+        later = g.handle(0.4, api.Request(f"s{number}", 0, 9.0, data_set=7))
+        assert [a.engine for a in sent(later)] not in ([], [first])
+
+
+@pytest.mark.parametrize("amount, effect", [(1, Effect.SAFE), (2, Effect.UNSAFE), (2, Effect.KEYED)])
+def test_what_waits_for_memory_or_may_not_run_again_stays(amount, effect):
+    g = reading(effect)
+    first = sent(g.handle(0.1, api.Request("r", 0, 9.0, data_set=7)))[0].engine
+    said = g.handle(0.3, api.AttemptNote("r", 0, first, api.NoteKind.WAITS, amount))
+    assert not [a for a in said if isinstance(a, api.Cancel)]
+
+
+@pytest.mark.parametrize("heeded, limited", [(False, True), (True, False)])
+def test_under_a_gap_attempts_are_bounded_where_no_priority_keeps_them_aside(heeded, limited):
+    g = Gateway(api.Settings(classes=(LOOKUP,), cores_by_kind=(8,), may_cancel=True,
+                             priorities_heeded=heeded), 1, 0.0)
+    g.handle(0.0, ListUpdate(ListMode.REMEMBERED, (EngineEntry("a", EngineState.LIVE),)))
+    for rung in (0, 2):
+        g.rung, g.base_gap = rung, 0.0
+        attempt = sent(g.handle(1.0, api.Request(f"r{rung}", 0, 9.0)))[0]
+        assert (attempt.timeout > 0) == (limited and rung > 0)
