All parts of the fleet run in real processes; kept answers and purges hang on the owner

Need: authority, purges, kept answers, groups and overload were built free of I/O and ran in no process. Change: fleet/parts.py makes them from [fleet], desk.py writes what they say, feed.py tells them demand and loads; the owner asks kept answers only where purges are on, else its path is as before. A log line that cannot be written no longer ends a process; damaged records end the start with 2.

--- a/aspenrill/core/books.py
+++ b/aspenrill/core/books.py
@@ -126,6 +126,13 @@
     call: Call
 
 
+@dataclass(slots=True)
+class Tired:
+    """A request has waited for another's answer as long as it may."""
+
+    call: Call
+
+
 @dataclass(slots=True)
 class Left:
     """The client of a request has gone."""
--- a/aspenrill/core/owner.py
+++ b/aspenrill/core/owner.py
@@ -59,6 +59,8 @@
         self.faults = 0
         self.most_engines = MOST_ENGINES  # that a list may name: memory is bounded
         self.tell: Callable[[bytes], None] = lambda data: None  # to all other front ends
+        self.kept: Any = None  # `fleet.kept.front.Kept`, where answers are kept or purged
+        self.fleet: Any = None  # `fleet.feed.Feed`, which counts what comes and ends
 
     def run(self) -> None:
         """Take events for as long as the program runs."""
@@ -92,8 +94,32 @@
             call.reply(call, Failed("the id of a request that is open"))
             return
         self.open[call.id] = call
-        patience = call.deadline - time.monotonic()  # what waiting here has left of it
         call.overtime = self.hub.timers.at(call.deadline + OVERTIME, self._overtime, call)
+        if self.kept is None or not self._look_up(call):
+            self._request(call)
+
+    def _look_up(self, call: Call) -> bool:
+        """Whether a kept answer was its final one, or it waits for another request's."""
+        now = self.kept.clock()
+        found = self.kept.lookup(call, now)
+        if found is None:
+            return False
+        if isinstance(found, books.Result):
+            self._final(call, Served(found))
+        else:
+            self.hub.timers.after(found.until - now, self.queue.put, books.Tired(call))
+        return True
+
+    def _on_tired(self, tired: books.Tired) -> None:
+        if self.kept.tired(tired.call) and tired.call.open:
+            self._request(tired.call)
+
+    def _request(self, call: Call) -> None:
+        if self.closed:
+            return  # `_on_closing` answers it
+        if self.fleet is not None:
+            self.fleet.asked(call)
+        patience = call.deadline - time.monotonic()  # what waiting here has left of it
         self._tell(api.Request(call.id, call.cls, max(0.0, patience), call.tenant,
                                data_set=call.data_set, waited=self.hub.lag()))
 
@@ -107,13 +133,24 @@
             call.attempt = None
         self._reached(attempt.peer, outcome)
         now = time.monotonic()
-        if outcome is api.Outcome.OK and call.open:
+        well = outcome is api.Outcome.OK
+        freed = None
+        if self.kept is not None:
+            freed = self.kept.ended(call, end.result if well else None, self.kept.clock())
+        if well and self.fleet is not None:
+            self.fleet.ended(end)
+        if well and call.open:
             if now <= call.deadline + OVERTIME:
                 self._final(call, Served(end.result))
             else:
                 outcome = api.Outcome.TIMEOUT
         self._tell(api.AttemptEnded(call.id, attempt.number, attempt.peer.engine, outcome,
                                     now - attempt.began, not call.open, end.work, end.memory_mb, end.report))
+        if freed is not None:
+            for other in freed.served:
+                self._final(other, Served(end.result))
+            for other in freed.go_on:
+                self._request(other)
 
     def _on_note(self, note: books.Noted) -> None:
         attempt = note.attempt
@@ -147,6 +184,8 @@
 
     def _on_probed(self, end: books.Probed) -> None:
         self._reached(end.peer, end.outcome)
+        if self.fleet is not None:
+            self.fleet.probed(end)
         self._tell(api.ProbeEnded(end.peer.engine, end.outcome, end.latency, end.report))
 
     def _on_heard(self, heard: books.Heard) -> None:
@@ -218,7 +257,10 @@
                         call.attempt.priority = priority
                         self.engines.rank(call.attempt, priority)
             case api.Refuse(request, come_back):
-                self._final(self.open.get(request), Refused(come_back))
+                call = self.open.get(request)
+                if self.fleet is not None and call is not None:
+                    self.fleet.refused(call)
+                self._final(call, Refused(come_back))
             case api.Fail(request):
                 self._final(self.open.get(request), Failed())
             case api.Cancel(request, number):
@@ -242,6 +284,8 @@
         attempt = Attempt(call, peer, call.sends, until, call.priority)
         call.sends += 1
         call.attempt = attempt
+        if self.kept is not None:
+            self.kept.sent(call, self.kept.clock())
         self.engines.start(attempt)
 
     def _final(self, call: Call | None, final: Final) -> None:
@@ -258,8 +302,11 @@
             call.overtime.cancel()
         if call.attempt is not None:
             self.engines.cancel(call.attempt)
+        if self.kept is not None:
+            for other in self.kept.closed(call, self.kept.clock()):
+                self._request(other)
 
     _takers = {books.Asked: _on_asked, books.Ended: _on_ended, books.Noted: _on_note, books.Left: _on_left,
                books.Expired: _on_expired, books.Probed: _on_probed, books.Due: _on_due,
                books.Closing: _on_closing, books.Unfit: _on_unfit, books.Heard: _on_heard,
-               News: _on_news}
+               books.Tired: _on_tired, News: _on_news}
--- a/aspenrill/fleet/config.py
+++ b/aspenrill/fleet/config.py
@@ -15,7 +15,7 @@
 Address = tuple[str, int]
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,47}")
 LABEL = re.compile(r"[A-Za-z0-9._-]{0,32}")
-PARTS = ("overload", "authority", "purges", "groups")
+PARTS = ("overload", "authority", "kept", "purges", "groups")
 
 
 @dataclass(frozen=True)
--- a/aspenrill/fleet/kept/front.py
+++ b/aspenrill/fleet/kept/front.py
@@ -56,10 +56,11 @@
 
 
 class Kept:
-    """The object that the owner holds where `[fleet.kept]` is on."""
+    """The object that the owner holds where `[fleet.purges]` is on. `clock`: what it reads as `now`."""
 
-    def __init__(self, store: Store, policy: Policy, tell: Callable[[LoadNews], None]) -> None:
-        self.store, self.policy, self.tell = store, policy, tell
+    def __init__(self, store: Store, policy: Policy, tell: Callable[[LoadNews], None],
+                 clock: Callable[[], float] = lambda: 0.0) -> None:
+        self.store, self.policy, self.tell, self.clock = store, policy, tell, clock
         self.flights: dict[str, Flight] = {}  # by the id of the request that fetches
         self.latest: dict[Key, Flight] = {}  # that may be joined
         self.joined: dict[str, Flight] = {}  # by the id of the request that waits
--- a/aspenrill/fleet/kept/policy.py
+++ b/aspenrill/fleet/kept/policy.py
@@ -9,6 +9,7 @@
     tenants = ["shop"]     # none named: all
 
     [fleet.purges]
+    enabled = true
     lease_s = 6.0
     folder = "/var/lib/aspenrill/purges"
 """
@@ -50,12 +51,13 @@
 
 @dataclass(frozen=True, slots=True)
 class PurgeSettings:
-    """`lease`: seconds for which the coordinator lets answers be served; `folder`: where the operator's
-    purges are put, `state`: the file that tells how they stand. Empty: none."""
+    """`enabled`: the part runs; `lease`: seconds for which the coordinator lets answers be served; `folder`:
+    where the operator's purges are put, `state`: the file that tells how they stand. Empty: none."""
 
     lease: float = 6.0
     folder: str = ""
     state: str = ""
+    enabled: bool = False
 
 
 def read_kept(fleet: Reader, names: Sequence[str], classes: Sequence[api.QueryClass],
@@ -94,6 +96,6 @@
     """`[fleet.purges]`. Faults go to the reader."""
     row = fleet.table_of("purges")
     found = PurgeSettings(row.number("lease_s", 6.0, 1.0, 60.0), row.text("folder", ""),
-                          row.text("state", ""))
+                          row.text("state", ""), row.flag("enabled", False))
     row.end()
     return found
--- a/aspenrill/fleet/peer.py
+++ b/aspenrill/fleet/peer.py
@@ -1,10 +1,13 @@
 """A bare process of a fleet, without any front: python -m aspenrill.fleet.peer FILE.toml
 
 It is a member and a voter like all others. Its log says `member NAME INCARNATION STATE` at each change; who
-is there stands in members.json in the state folder, whole at any time.
+is there stands in members.json in the state folder, whole at any time. It runs the parts that its tables have
+on; `desk` says what they log. SIGHUP reads keys, seeds and the folder of purges.
 """
 from __future__ import annotations
 
+import os
+import random
 import signal
 import sys
 from collections.abc import Sequence
@@ -13,10 +16,12 @@
 
 from ..errors import Trouble
 from ..net.hub import Hub
-from ..start import on_signal
+from ..start import on_signal, say
 from .config import read_file
+from .desk import Desk
 from .durable import write_whole
 from .interface import Member, State
+from .parts import Names, build
 from .service import Service
 
 SOON = 0.05  # seconds within which changes come to the file together
@@ -51,7 +56,7 @@
 def main(words: Sequence[str] | None = None) -> int:
     """Run until SIGTERM; 2 where the configuration cannot be used."""
     words = sys.argv[1:] if words is None else words
-    hub = Hub(lambda text: print(text, file=sys.stderr, flush=True))
+    hub = Hub(say)
     if len(words) != 1:
         print("usage: python -m aspenrill.fleet.peer FILE.toml", file=sys.stderr)
         return 2
@@ -60,7 +65,10 @@
 
     def reload() -> None:
         try:
-            service.reload(read_file(words[0]))
+            config = read_file(words[0])
+            wanted = build(config, Names(), random.Random(0))
+            service.reload(config)
+            desk.reload(config, wanted)
         except Trouble as why:
             hub.log(f"configuration not taken, the old one stays: {why.line()}")
 
@@ -70,7 +78,11 @@
 
     on_signal(hub, signal.SIGHUP, reload)
     try:
-        service = listing.service = Service(hub, read_file(words[0]), (), watch=listing.changed)
+        config = read_file(words[0])
+        parts = build(config, Names(), random.Random(os.urandom(16)))
+        desk = Desk(hub, parts)
+        service = listing.service = Service(hub, config, parts.all(), desk.inform, listing.changed)
+        service.start()
     except Trouble as why:
         print(f"aspenrill: {why.line()}", file=sys.stderr)
         return 2
@@ -78,7 +90,7 @@
         print(f"aspenrill: fleet: listen: {why}", file=sys.stderr)
         return 2
     on_signal(hub, signal.SIGTERM, leave)
-    service.start()
+    desk.start(service)
     hub.run()
     return 0
 
--- a/aspenrill/fleet/service.py
+++ b/aspenrill/fleet/service.py
@@ -149,11 +149,20 @@
     # ---- running --------------------------------------------------------------------------------------
 
     def start(self) -> None:
-        """Parts first, then the peers."""
+        """Parts first, then the peers. Effects of the parts' starts are carried out once all have started, so
+        that none hears of an agreed record before. StateTrouble where a part's records are damaged."""
         self.hub.log(f"fleet: {self.config.name} at {self.address[0]}:{self.address[1]}, "
                      f"incarnation {self.view.incarnation}")
-        for part in self.parts:
-            self._call(part, part.on_start, boottime(), self.view, self.store.records(part.name))
+        started: list[tuple[Part, list[Effect]]] = []
+        try:
+            for part in self.parts:
+                records = self.store.records(part.name)
+                started.append((part, part.on_start(boottime(), self.view, records)))
+        except BaseException:
+            self.stop()
+            raise
+        for part, effects in started:
+            self.carry_out(part, effects)
         self.hub.spawn(self._run, name="fleet")
 
     def _run(self) -> None:
--- a/aspenrill/node.py
+++ b/aspenrill/node.py
@@ -5,7 +5,7 @@
 import resource
 import time
 import tomllib
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -150,6 +150,7 @@
         self.owner = Owner(hub, settings, seed, make(self.pools, self.post))
         self.fronts: list[tuple[Any, Listener]] = []
         self.reread: Callable[[], None] = lambda: None  # what SIGHUP does; ConfigError where it cannot
+        self.fleet_facts: Any = None  # the latest `fleet.overload.facts.Facts`, where the fleet has that part
         self.goodbye: Callable[[], None] = lambda: None  # to the other front ends, where there are some
         hub.spawn(self.owner.run, name="owner")
 
@@ -214,7 +215,7 @@
     bulletin = Bulletin(hub, config.bulletin, config.last,
                         node.post if gathering is None else gathering.bulletin, config.most_engines)
     bulletin.start()
-    regroup = _fleet(hub, node, fleet_file)
+    regroup = _fleet(hub, node, fleet_file, config.classes, config.tenants)
 
     def reread() -> None:
         now = read_config(env)
@@ -253,14 +254,15 @@
         node.listen(found.listen, tds.Service(hub, found.logins, node.post, found.name), "tds", 0.05)
 
 
-def _fleet(hub: Hub, node: Node, path: Path) -> Callable[[], None]:
+def _fleet(hub: Hub, node: Node, path: Path, classes: Sequence[str] = (),
+           tenants: Sequence[str] = ()) -> Callable[[], None]:
     """The other front ends, where the file has them on; what it gives reads the file again."""
     text = _enabled(path)
     if text is None:
         return lambda: None
     from .fleet.joining import join
 
-    return join(hub, node, lambda: tomllib.loads(_enabled(path) or ""), "")
+    return join(hub, node, lambda: tomllib.loads(_enabled(path) or ""), "", classes, tenants)
 
 
 def _sources(path: Path, kinds: list[str]) -> Any:
--- a/aspenrill/sidecar.py
+++ b/aspenrill/sidecar.py
@@ -33,7 +33,7 @@
         return lambda: None
     from .fleet.joining import join
 
-    return join(hub, node, read, "fleet.")
+    return join(hub, node, read, "fleet.", app.classes, app.tenants)
 
 
 def sidecar(hub: Hub, path: str) -> Node:
--- a/aspenrill/start.py
+++ b/aspenrill/start.py
@@ -1,6 +1,7 @@
 """Starts one real front end, a node of the platform or an application's sidecar; runs it until SIGTERM."""
 from __future__ import annotations
 
+import contextlib
 import gc
 import os
 import signal
@@ -14,6 +15,12 @@
 from .node import ConfigError, Node, platform
 
 
+def say(text: str) -> None:
+    """A log line. Where the log's disk is full it is lost, and the program goes on."""
+    with contextlib.suppress(OSError):
+        print(text, file=sys.stderr, flush=True)
+
+
 def on_signal(hub: Hub, number: int, act: Callable[[], None]) -> None:
     """Run `act` in a task each time the signal has come."""
     ours, theirs = socket.socketpair()
@@ -43,7 +50,7 @@
 def main(words: Sequence[str] | None = None, env: Mapping[str, str] = os.environ) -> int:
     """Run one front end until SIGTERM; 2 where its configuration cannot be used."""
     words = sys.argv[1:] if words is None else words
-    hub = Hub(lambda text: print(text, file=sys.stderr, flush=True))
+    hub = Hub(say)
     node: Node | None = None
     on_signal(hub, signal.SIGHUP, lambda: node.reload())  # first: by default it would end the program
     try:
--- a/tests/test_fleet_service.py
+++ b/tests/test_fleet_service.py
@@ -243,7 +243,8 @@
 def test_modules_tell_each_other_where_they_may(world, may):
     def node() -> SimpleNamespace:
         heard = []
-        return SimpleNamespace(settings=SimpleNamespace(may_tell=may), post=heard.append, heard=heard,
+        settings = SimpleNamespace(classes=(), may_tell=may)
+        return SimpleNamespace(settings=settings, post=heard.append, heard=heard,
                                owner=SimpleNamespace(tell=lambda data: None))
 
     def scene():
