--- a/tests/test_fleet_peers.py
+++ b/tests/test_fleet_peers.py
@@ -6,6 +6,7 @@
 from collections import Counter
 
 import pytest
+from msgspec import structs
 
 from aspenrill.fleet.interface import Entry, Member, State
 from aspenrill.fleet.peers.node import Peers, Posted
@@ -341,3 +342,17 @@
             if isinstance(event, Member):
                 assert event.incarnation >= last.get(event.name, 0)
                 last[event.name] = event.incarnation
+
+
+def test_who_missed_a_refutation_hears_it_as_soon_as_it_says_what_it_believes():
+    sim = fleet(5)
+    known = sim.nodes["n2"].table.me
+    refuted = structs.replace(known, claim=known.claim + 1)
+    sim.nodes["n2"].table.me = refuted  # all but n1 have heard of it, and it is no news any more
+    for name in ("n0", "n3", "n4"):
+        sim.nodes[name].table.merge(sim.now, refuted)
+        sim.nodes[name].table.rumours.drop("n2")
+    sim.nodes["n1"].table.merge(sim.now, structs.replace(known, state=int(State.SUSPECT), accuser="n1"))
+    assert sim.state("n1", "n2") is State.SUSPECT
+    assert sim.until(lambda: sim.state("n1", "n2") is State.ALIVE, 3.0)
+    assert sim.nodes["n2"].table.me.claim == refuted.claim  # said again, not raised
