--- a/aspenrill/fleet/peers/node.py
+++ b/aspenrill/fleet/peers/node.py
@@ -374,7 +374,7 @@
         elif news.rank > me.rank and not self.names.fenced and not self.leaving:
             self.detector.slow()
             self.table.restate(now, claim=news.claim + 1)
-        elif news.rank < me.rank and news.state != State.ALIVE:  # refuted already: who says it has missed that
+        elif news.rank < me.rank and news.state != State.ALIVE:  # refuted before: it has missed that
             self.table.restate(now)
 
     def take_over(self, now: float, incarnation: int) -> None:
