--- /dev/null
+++ b/tests/test_path_many.py
@@ -0,0 +1,178 @@
+"""Many requests on one connection: answers that leave together, slow readers, ends half way."""
+from __future__ import annotations
+
+import gc
+import socket
+import struct
+import time
+from dataclasses import replace
+
+import pytest
+from stubborn import pair
+
+from aspenrill.control import shed_after
+from aspenrill.fronts.thrift import Session
+from aspenrill.net.hub import Closed, Hub
+from aspenrill.wire import Malformed, thrift
+from standins.scene import play
+from standins.world import ROWS, SETTINGS, Act, Reply, World
+
+ROOMY = replace(SETTINGS, cores_by_kind=(64,))  # nothing is held for want of room
+
+
+def together(world: World, client, statements: list[str]) -> None:
+    """All requests in one segment."""
+    written, client.conn.write = [], lambda data, until: written.append(data)
+    for statement in statements:
+        client.send(statement)
+    del client.conn.write
+    client.conn.write(b"".join(written), time.monotonic() + 5)
+
+
+def numbered(client, count: int) -> list[Reply]:
+    return [client.read(10) for _ in range(count)]
+
+
+def test_32_requests_in_one_segment_and_32_answers_at_once_one_of_them_spoilt():
+    # the spoilt one is asked for again, and holds up none of the others
+    world = World("thrift", 1, ROOMY)
+
+    def run():
+        at = [time.monotonic() + 0.5]
+        world.engines[0].act = lambda s: Act(max(0.0, at[0] - time.monotonic()), s.endswith(" 17"),
+                                             rows=[(s, "a", "b")])
+        client = world.client()
+        together(world, client, [f"select {i}" for i in range(32)])
+        replies = numbered(client, 32)
+        assert {reply.kind for reply in replies} == {"served"}
+        assert sorted(reply.rows[0][0] for reply in replies) == sorted(f"select {i}" for i in range(32))
+        assert world.engines[0].statements.count("select 17") == 1
+    world.run(run)
+
+
+def test_one_of_several_answers_that_go_out_together_is_cancelled():
+    world = World("thrift", 1, ROOMY)
+
+    def run():
+        world.engines[0].act = lambda s: Act(after=0.4, rows=[(s, "a", "b")])
+        client = world.client()
+        together(world, client, [f"select {i}" for i in range(4)])
+        world.until(lambda: len(world.engines[0].began) == 4)
+        client.conn.write(thrift.frame(thrift.ONEWAY, "forget", 0, thrift.field(
+            thrift.I32, 1, struct.pack(">i", 2))), time.monotonic() + 5)
+        found = sorted(reply.rows[0][0] for reply in numbered(client, 3))
+        assert found == ["select 0", "select 2", "select 3"]
+        assert client.ask("select 9").rows[0][0] == "select 9"
+        assert world.engines[0].stopped == ["select 1"]
+    world.run(run)
+
+
+def test_a_client_that_closes_half_way_through_a_joint_answer():
+    world = World("thrift", 1, ROOMY)
+
+    def run():
+        wide = [(str(i), "x" * 40, "end") for i in range(700)]
+        world.engines[0].act = lambda s: Act(after=0.2, rows=wide)
+        client = world.client()
+        client.conn.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        together(world, client, [f"select {i}" for i in range(16)])
+        world.until(lambda: len(world.engines[0].ended) == 16)
+        client.conn.fill(time.monotonic() + 5)
+        client.close()
+        world.until(lambda: not world.node.owner.open and not world.node.fronts[0][1].connections, 5)
+        assert world.node.fronts[0][0].writing == 0
+        assert world.client().ask("select 1").rows == wide
+    world.run(run)
+
+
+def test_reports_of_40_pages_under_a_slow_reader_stay_bounded():
+    # answers wait in the connection's task, a report is held once, and each comes whole
+    world = World("thrift", 1, ROOMY)
+    wide = [(str(i), "x" * 40, "end") for i in range(800)]
+
+    def run():
+        engine = world.engines[0]
+        engine.page = 1100
+        engine.act = lambda s: Act(after=0.02 * int(s.split()[1]), rows=wide)
+        client = world.client("usage-report")
+        client.conn.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        assert len(engine.pages(Act(rows=wide))) >= 37
+        world.until(lambda: world.node.fronts[0][1].connections)
+        [conn] = world.node.fronts[0][1].connections
+        conn.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 32768)
+        for _ in range(2):
+            together(world, client, [f"select {i}" for i in range(4)])  # more than the system's buffers take
+            world.until(lambda: [o for o in gc.get_objects() if isinstance(o, Session) and o.busy])
+            [session] = [o for o in gc.get_objects() if isinstance(o, Session) and o.conn.open]
+            together(world, client, [f"select {i}" for i in range(4, 12)])
+            world.until(lambda: len(engine.ended) == 12)
+            world.until(lambda s=session: not s.open and not s.fresh)
+            size = sum(map(len, engine.pages(Act(rows=wide)))) + 100
+            assert 0 < sum(map(len, session.answers)) <= 12 * size, "held more than once, or not at all"
+            for reply in numbered(client, 12):
+                assert reply.rows == wide
+            world.until(lambda s=session: not s.busy)
+            assert not session.answers and not session.fresh and session.conn.outgoing._view is None
+            engine.ended.clear()
+    world.run(run)
+
+
+def test_what_has_been_answered_goes_out_before_the_connection_ends():
+    # answers wait for the end of a round: one that ends the connection in the same round must not lose them
+    world = World("thrift", 1)
+
+    def run():
+        client = world.client()
+        client.conn.write(b"".join(thrift.frame(thrift.CALL, "nobody", i, b"") for i in range(1, 17)),
+                          time.monotonic() + 5)
+        assert [reply.kind for reply in numbered(client, 16)] == ["broken"] * 16
+        with pytest.raises(Closed):
+            client.read(5)
+    world.run(run)
+
+
+def test_a_connection_keeps_its_place_until_its_answer_has_gone_out():
+    world = World("thrift", 1)
+
+    def run():
+        client = world.client()
+        assert client.ask("select 1").rows == ROWS
+        [conn] = world.node.fronts[0][1].connections
+        busy, soon = [], world.hub.soon
+        world.hub.soon = lambda call: (busy.append(conn.busy), soon(call))
+        assert client.ask("select 2").rows == ROWS and busy == [1] and conn.busy == 0
+    world.run(run)
+
+
+def test_what_the_module_would_refuse_for_being_behind_is_refused_before_it_costs_more():
+    world = World("thrift", 1)
+
+    def run():
+        service = world.node.fronts[0][0]
+        service.shed_after = shed_after(SETTINGS)
+        service.shed_least, service.shed = min(service.shed_after), {"holdoff": "250"}
+        seen, handle = [], world.node.owner.gateway.handle
+        world.node.owner.gateway.handle = lambda now, event: (seen.append(event), handle(now, event))[1]
+        client, worthy = world.client(), world.client("usage-report")
+        assert client.ask("select 1").rows == ROWS and seen
+        seen.clear()
+        world.hub.lag = lambda: (service.shed_after[0] + service.shed_after[3]) / 2
+        assert client.ask("select 2").kind == "refused" and not seen
+        assert worthy.ask("select 3").kind == "served"  # of more worth: not yet
+        world.hub.lag = lambda: 0.0
+        assert client.ask("select 4").kind == "served"
+    world.run(run)
+
+
+def test_lengths_that_no_frame_may_have_end_the_connection():
+    hub = Hub()
+
+    def scene():
+        for data in (b"\0\0\0\0", b"\x7f\xff\xff\xff12", b"\0\1\0\1xx"):
+            conn, theirs = pair(hub)
+            theirs.sendall(data)
+            with pytest.raises((Closed, Malformed)):
+                conn.frame(65536, time.monotonic() + 5)
+            conn.close()
+            theirs.close()
+    play(hub, scene)
