One way to write a file whole, and one quiet stand-in part

Cause: found by reading the change once more: members.json, the purges' state file and the splits' file were each written by code of their own (durable.write_whole, folder.write_state, owner_file.write), of which only the last left no draft behind and synced the folder; two stand-ins spelled out the calls that they do not heed, where a third had a class for it. Change: fleet/whole.py as the strictest of the three did it; standins/quiet.py.

--- a/aspenrill/fleet/durable.py
+++ b/aspenrill/fleet/durable.py
@@ -88,16 +88,3 @@
         """Others may use the folder from here on."""
         self._db.close()
         os.close(self._lock)
-
-
-def write_whole(path: Path, data: bytes) -> None:
-    """A file with this content, or as it was before: never half of it. DiskTrouble where it cannot be."""
-    beside = path.with_name(path.name + ".new")
-    try:
-        with open(beside, "wb") as file:
-            file.write(data)
-            file.flush()
-            os.fsync(file.fileno())
-        os.replace(beside, path)
-    except OSError as why:
-        raise DiskTrouble(f"{path}: {why.strerror}") from None
--- a/aspenrill/fleet/groups/owner_file.py
+++ b/aspenrill/fleet/groups/owner_file.py
@@ -2,13 +2,11 @@
 here."""
 from __future__ import annotations
 
-import contextlib
-import os
 from pathlib import Path
 
 import msgspec
 
-from ...errors import DiskTrouble
+from ..whole import write_whole
 from .splits import SplitNews
 
 
@@ -25,28 +23,5 @@
 
 
 def write(path: Path, news: SplitNews) -> bool:
-    """Whether it was written anew; what is there already stays, so a repeat is harmless. A reader sees the
-    old file or the new one. Raises DiskTrouble; the old file is whole then."""
-    content = text(news)
-    draft = path.with_name(f".{path.name}.{os.getpid()}")
-    try:
-        if path.exists() and path.read_bytes() == content:
-            return False
-        try:
-            with draft.open("wb") as file:
-                file.write(content)
-                file.flush()
-                os.fsync(file.fileno())
-            draft.replace(path)
-        except BaseException:
-            with contextlib.suppress(OSError):
-                draft.unlink()
-            raise
-        folder = os.open(path.parent, os.O_RDONLY)
-        try:
-            os.fsync(folder)
-        finally:
-            os.close(folder)
-    except OSError as error:
-        raise DiskTrouble(f"splits file {path}: {error}") from None
-    return True
+    """Whether it was written anew. Raises DiskTrouble."""
+    return write_whole(path, text(news))
--- a/aspenrill/fleet/peer.py
+++ b/aspenrill/fleet/peer.py
@@ -19,10 +19,10 @@
 from ..start import on_signal, say
 from .config import read_file
 from .desk import Desk
-from .durable import write_whole
 from .interface import Member, State
 from .parts import Names, build
 from .service import Service
+from .whole import write_whole
 
 SOON = 0.05  # seconds within which changes come to the file together
 
--- a/aspenrill/fleet/purges/folder.py
+++ b/aspenrill/fleet/purges/folder.py
@@ -11,7 +11,8 @@
 from pathlib import Path
 from typing import Any
 
-from ...errors import DiskTrouble, PurgeFileTrouble
+from ...errors import PurgeFileTrouble
+from ..whole import write_whole
 from .orders import Order, parse
 
 MOST_FILES = 20  # that one SIGHUP takes; the rest waits for the next
@@ -64,13 +65,4 @@
 
 def write_state(path: str, found: dict[str, Any]) -> None:
     """A report as a JSON file, whole or not at all. Raises DiskTrouble."""
-    there = Path(path)
-    beside = there.with_name(f".{there.name}.new")
-    try:
-        with beside.open("w") as file:
-            json.dump(found, file, indent=1)
-            file.flush()
-            os.fsync(file.fileno())
-        os.replace(beside, there)
-    except OSError as why:
-        raise DiskTrouble(f"{there}: {why.strerror}") from None
+    write_whole(Path(path), json.dumps(found, indent=1).encode())
--- a/standins/groups.py
+++ b/standins/groups.py
@@ -15,6 +15,7 @@
 from aspenrill.fleet.interface import Agreed, Inform
 from standins.cluster import Cluster
 from standins.faults import CALM
+from standins.quiet import Quiet
 
 ENGINES = tuple(f"e{n}" for n in range(12))
 HOUR = 10.0  # seconds of the world
@@ -22,24 +23,6 @@
 LEASE = 3.0
 
 
-class Quiet:
-    """A part that says nothing."""
-
-    topics, period = (), 0.5
-
-    def on_start(self, now, view, stored):
-        self.view = view
-        return []
-
-    def on_tick(self, now):
-        return []
-
-    def on_member(self, *_):
-        return []
-
-    on_entry = on_message = on_disk = on_leave = on_member
-
-
 class Ledger:
     """The log on the disks of the voters, and what must hold of it; checked with each record."""
 
--- a/standins/purging.py
+++ b/standins/purging.py
@@ -26,6 +26,7 @@
 from .cluster import Cluster
 from .faults import Link
 from .proc import Proc
+from .quiet import Quiet
 
 LEASE = 4.0  # seconds
 LOOKUP, LOAD = 0, 1
@@ -52,7 +53,7 @@
         return 2 * reached > len(self.voters)
 
 
-class FakeAuthority:
+class FakeAuthority(Quiet):
     """The part of one process; it drops what it has proposed with its office."""
 
     name, topics, period = "authority", (), 0.05
@@ -106,17 +107,6 @@
         self.last = told[-1].number if told else len(court.log)
         return [Inform(record) for record in told]
 
-    def on_member(self, now, member):
-        return []
-
-    on_entry = on_member
-
-    def on_message(self, now, sender, incarnation, body):
-        return []
-
-    def on_disk(self, now, key):
-        return []
-
     def on_leave(self, now: float) -> list[Effect]:
         if self.court.holder == self.me:
             self.court.until = self.court.world.now
@@ -204,7 +194,7 @@
                         f"{self.needed[group]} is complete")
 
 
-class Requests:
+class Requests(Quiet):
     """Clients and engines of one process: queries and loads come, are sent, and end a while later."""
 
     name, topics, period = "requests", (), 0.1
@@ -271,19 +261,6 @@
             if call.cls == LOAD:
                 self.truth.ended.append((self.proc.name, self.proc.life, group, self.truth.at(group, world)))
 
-    def on_member(self, now, member):
-        return []
-
-    on_entry = on_member
-
-    def on_message(self, now, sender, incarnation, body):
-        return []
-
-    def on_disk(self, now, key):
-        return []
-
-    def on_leave(self, now):
-        return []
 
 
 def places(names: Sequence[str], sites: int, buildings: int) -> dict[str, Place]:
@@ -313,4 +290,3 @@
 def purge(world: Cluster, name: str, scope: str) -> None:
     """An operator's purge begins at a process."""
     world.do(name, lambda proc: proc.part("purges").purge(proc.clock(), scope, "operator"), "purges")
-
