A send may carry the last moment for its first byte, and a call that its client left

Cause: what a rule allows is decided by the module, the first byte goes out up to a dial later; Attempt.wanted looked at client, time and drain only. Change: api.Send.begin_within, Attempt.begin_by, Call.gone, looked at before the first byte; nothing sets them yet.

--- a/aspenrill/adapter.py
+++ b/aspenrill/adapter.py
@@ -76,7 +76,7 @@
 def encode(action: api.Action) -> str:
     """One action as a line of the wire."""
     match action:
-        case api.Send(request, engine, timeout):
+        case api.Send(request, engine, timeout, _):
             return f"TRANSMIT\t{request}\t{round(timeout * NS)}\t{engine}"
         case api.SetTerms(request, memory, priority):
             return f"EQUIP\t{request}\t{memory:.6g}\t{priority}"
--- a/aspenrill/api.py
+++ b/aspenrill/api.py
@@ -261,11 +261,16 @@
 
 @dataclass(slots=True)
 class Send:
-    """Hand the request to an engine. `timeout` 0: until the client quits."""
+    """Hand the request to an engine. `timeout` 0: until the client quits.
+
+    `begin_within`: seconds, from the decision, within which its first byte has to go out; later it is moot.
+    0: as long as the attempt is wanted.
+    """
 
     request: str
     engine: str
     timeout: float = 0.0
+    begin_within: float = 0.0
 
 
 @dataclass(slots=True)
--- a/aspenrill/core/books.py
+++ b/aspenrill/core/books.py
@@ -1,6 +1,7 @@
 """The books: requests that are open, attempts that are out, engines by id. Plain records."""
 from __future__ import annotations
 
+import math
 import time
 from collections import deque
 from collections.abc import Callable
@@ -58,6 +59,7 @@
     patience: float
     reply: Callable[[Call, Final], None]
     open: bool = True
+    gone: bool = False  # its client has left: its front says so here at once, and to the owner by `Left`
     sends: int = 0
     priority: int = 1
     attempt: Attempt | None = None  # the one that is out
@@ -104,6 +106,7 @@
     priority: int
     task: Any = None
     cancelled: bool = False
+    begin_by: float = math.inf  # the last moment for its first byte: a repeat's window, a cold engine's turn
     began: float = field(default_factory=time.monotonic)
     asked: float | None = None  # when the engine was last asked; None: no byte has gone out
     heard: float = 0.0  # when it last said anything
@@ -112,9 +115,9 @@
 
     @property
     def wanted(self) -> bool:
-        """Still worth its first byte: request open, time left, engine taking work."""
-        return (self.call.open and not self.cancelled and time.monotonic() < self.until
-                and self.peer.takes_work)
+        """Still worth its first byte: client there, request open, time left, engine taking work."""
+        return (self.call.open and not self.call.gone and not self.cancelled
+                and time.monotonic() < min(self.until, self.begin_by) and self.peer.takes_work)
 
 
 # ---- what reaches the owner's queue -------------------------------------------------------------------
--- a/aspenrill/core/owner.py
+++ b/aspenrill/core/owner.py
@@ -247,8 +247,8 @@
 
     def _act(self, action: api.Action) -> None:
         match action:
-            case api.Send(request, engine, timeout):
-                self._send(self.open[request], self.peers[engine], timeout)
+            case api.Send(request, engine, timeout, begin_within):
+                self._send(self.open[request], self.peers[engine], timeout, begin_within)
             case api.SetTerms(request, _, priority):
                 call = self.open.get(request)
                 if call is not None:
@@ -278,10 +278,12 @@
             case api.WatchList():
                 pass  # the list comes unasked
 
-    def _send(self, call: Call, peer: Peer, timeout: float) -> None:
+    def _send(self, call: Call, peer: Peer, timeout: float, begin_within: float) -> None:
         now = time.monotonic()
         until = min(call.deadline, now + timeout) if timeout > 0 else call.deadline
         attempt = Attempt(call, peer, call.sends, until, call.priority)
+        if begin_within > 0:
+            attempt.begin_by = now + begin_within
         call.sends += 1
         call.attempt = attempt
         if self.kept is not None:
--- a/standins/farm.py
+++ b/standins/farm.py
@@ -218,7 +218,7 @@
     def _carry(self, gateway: Gateway, actions: list[Any]) -> None:
         for action in actions:
             match action:
-                case api.Send(request, name, timeout):
+                case api.Send(request, name, timeout, _):
                     self._send(gateway, request, name, timeout)
                 case api.Probe(name):
                     good = self.reaches(gateway, self.engines[name])
