An error in one action or event costs its own request; all else decided is done

Cause, read in core/owner.py and shown by seams: `_tell` walked the module's actions without a guard, so one that raised (an engine that cannot start an attempt, an id that is not there) lost the rest of that event's actions, and other requests waited until their deadline; an error in `gateway.handle` lost what stood in `gateway.actions`; the event's own call was failed, which may be another than the action's. `_final` lost the answer for good where `_close` raised (`open` was false by then), `_on_closing` the answers of all others. `_on_news` stopped at the first engine that could not be retired: later members were never marked, while the bulletin counts the event as had. Ruled out: the module handles a nested event on a new list, so an outer walk keeps its own.

Change: each action has its own guard; its error is reported and its own call answered Failed, the others are carried out. After an error in handle what it had decided is carried out, and the event's own call is failed unless it was answered or has an attempt out. The module hears that the request and an attempt that never began are over, through the queue (a direct call could nest as deep as requests are open). `_final` answers in any case. News mark all peers first and retire then, each with its own guard.

--- a/aspenrill/core/owner.py
+++ b/aspenrill/core/owner.py
@@ -69,11 +69,13 @@
             try:
                 self.take(event)
             except Exception:
-                self.faults += 1
-                self.hub.report(f"owner, at {type(event).__name__}", traceback.format_exc())
-                call = getattr(event, "call", None) or getattr(getattr(event, "attempt", None), "call", None)
+                self._fault(f"owner, at {type(event).__name__}")
+                attempt = getattr(event, "attempt", None)
+                call = getattr(event, "call", None) or getattr(attempt, "call", None)
                 if call is not None:
-                    self._final(call, Failed("internal error"))
+                    self._give_up(call.id, call)
+                if isinstance(event, books.Ended):
+                    self._forget(call.id, attempt.peer.engine, api.Outcome.CANCELLED)
 
     def take(self, event: Any) -> None:
         """One event, and all that the module makes of it."""
@@ -211,23 +213,29 @@
 
     def _on_news(self, news: News) -> None:
         news = self._fitting(news)
+        retired: list[Peer] = []
         for member in news.members:
             known = self.peers.get(member.engine)
             if known is None or known.address != member.address or member.started > known.started:
                 if known is not None:
                     known.retired = True
-                    self.engines.retire(known)
+                    retired.append(known)
                 self.peers[member.engine] = Peer(member.engine, member.address, member.state, member.started)
                 continue
             known.state = member.state
             if not known.takes_work:
-                self.engines.retire(known)
+                retired.append(known)
         if news.whole:
             named = {member.engine for member in news.members}
             for engine, peer in self.peers.items():
                 if engine not in named:
                     peer.state = api.EngineState.GONE
-                    self.engines.retire(peer)
+                    retired.append(peer)
+        for peer in retired:  # all are marked by now: an error here sends nothing to an engine that drains
+            try:
+                self.engines.retire(peer)
+            except Exception:
+                self._fault(f"owner, retiring {peer.engine}")
         mode = api.ListMode.CHANGES
         if news.whole:
             mode = api.ListMode.COMPLETE if self.listed else api.ListMode.REMEMBERED
@@ -242,8 +250,45 @@
     # ---- what the module decides ----------------------------------------------------------------------
 
     def _tell(self, event: api.Event) -> None:
-        for action in self.gateway.handle(self.clock(), event):
-            self._act(action)
+        """What the module makes of an event. An error there, or in an action, costs only the request that it
+        is about: all else that was decided is carried out."""
+        broken = False
+        try:
+            actions = self.gateway.handle(self.clock(), event)
+        except Exception:
+            self._fault(f"module, at {type(event).__name__}")
+            broken, actions = True, self.gateway.actions  # decided before the error
+        for action in actions:
+            try:
+                self._act(action)
+            except Exception:
+                self._fault(f"owner, at {type(action).__name__}")
+                request = getattr(action, "request", None)
+                self._give_up(request, self.open.get(request))
+                if isinstance(action, api.Send):
+                    self._forget(request, action.engine, api.Outcome.MOOT)
+        if broken:
+            call = self.open.get(getattr(event, "request", None))
+            if call is not None and call.attempt is None:
+                self._give_up(call.id, call)
+
+    def _fault(self, what: str) -> None:
+        """An error that is being handled, for the people on call."""
+        self.faults += 1
+        self.hub.report(what, traceback.format_exc())
+
+    def _give_up(self, request: str | None, call: Call | None) -> None:
+        """After an error in what was done for a request: its answer, and the module forgets it."""
+        if call is not None:
+            if call.attempt is not None and call.attempt.task is None:
+                call.attempt = None  # it did not begin
+            self._final(call, Failed("internal error"))
+        if request is not None and request not in self.open:
+            self.queue.put(api.ClientGone(request))
+
+    def _forget(self, request: str, engine: str, outcome: api.Outcome) -> None:
+        """The end of an attempt that the module may still hold to be out, and of which nobody else tells."""
+        self.queue.put(api.AttemptEnded(request, 0, engine, outcome, 0.0, True))
 
     def _act(self, action: api.Action) -> None:
         match action:
@@ -291,10 +336,16 @@
         self.engines.start(attempt)
 
     def _final(self, call: Call | None, final: Final) -> None:
-        """The one place that answers: once, and only what is open."""
+        """The one place that answers: once, and only what is open; also where an error comes in between."""
         if call is not None and call.open:
-            self._close(call)
-            call.reply(call, final)
+            try:
+                self._close(call)
+            except Exception:
+                self._fault("owner, closing a request")
+            try:
+                call.reply(call, final)
+            except Exception:
+                self._fault("owner, answering a request")
 
     def _close(self, call: Call) -> None:
         call.open = False
@@ -311,4 +362,4 @@
     _takers = {books.Asked: _on_asked, books.Ended: _on_ended, books.Noted: _on_note, books.Left: _on_left,
                books.Expired: _on_expired, books.Probed: _on_probed, books.Due: _on_due,
                books.Closing: _on_closing, books.Unfit: _on_unfit, books.Heard: _on_heard,
-               books.Tired: _on_tired, News: _on_news}
+               books.Tired: _on_tired, News: _on_news, api.ClientGone: _tell, api.AttemptEnded: _tell}
