A turn for a connection reaches who still waits, and is not lost on the way

Cause: a task that was interrupted, or whose time was up, stood in a line until it ran; pool._next and pool._left popped it, hub.wake did nothing, and the turn was lost: who stood behind waited out its time beside a free place. The same with a turn to dial that its owner could not use (refused after a failure; no descriptor left) and with a connection offered to one that wants a fresh one. pool.give closed a sound connection whenever anybody waited for a descriptor, also where that one waited for the same engine. Ruled out: retire and _sweep against one just taken (take removes it from idle, resting and the hub's watch with no wait between; afterwards nobody but its taker holds it, and give drops it where the engine takes no work). Change: hub.wake returns whether it woke; a turn goes on to the next that really wakes, carries the connection given back, and goes on where it is not used; one whose turn was used up by another waits first in its line. A waiter that has timed out got no turn.

--- a/aspenrill/engines/pool.py
+++ b/aspenrill/engines/pool.py
@@ -4,6 +4,8 @@
 import time
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
 
 from greenlet import getcurrent
 
@@ -14,9 +16,20 @@
 
 MOST_DIALING = 16  # connections to one engine that come up at a time
 SETTLE = 0.02  # seconds after an answer in which more than belongs to it may still come: others go first
+DIAL = object()  # what a wait brings whose turn it is to dial
 AFTER_FAILURE = 0.1  # seconds without another try after one that did not come up
 
 
+@dataclass(eq=False, slots=True)
+class Turn:
+    """Who waits in a line, and for what."""
+
+    peer: Peer
+    fresh: bool  # for a new connection only
+    worker: Any = None
+    wait: int = 0
+
+
 class Pools:
     """Takes and gives back connections; the idle ones lie with their engine's record."""
 
@@ -35,24 +48,51 @@
         Idle ones are watched, and go at the first news. `sure` looks once more: news may have come since the
         last look at all descriptors. A request that may run again goes without.
         """
-        until = min(until, time.monotonic() + self.connect_for)
+        until, waited = min(until, time.monotonic() + self.connect_for), None
         while True:
-            while peer.idle and not fresh:
-                conn = peer.idle.pop(0 if time.monotonic() < peer.idle[-1].used + SETTLE else -1)
-                self.hub.unidle(conn.fd)
-                del self.resting[conn]
-                if conn.open and (not sure or conn.quiet()):
-                    conn.reused = True
-                    return conn
-                self.drop(conn)
-            if peer.dialing < MOST_DIALING:
-                break
-            if not self._wait(peer.waiting, until):
-                raise Refused("no connection in time")
-        if time.monotonic() < peer.failed_at + AFTER_FAILURE:
-            raise Refused("none came up just now")  # more of them would only lengthen its line
-        self._room(until)
-        return self._dial(peer, until)
+            conn = None if fresh else self._rested(peer, sure)
+            if conn is not None:
+                if waited is not None:
+                    self._next(peer)  # its turn was not for this one
+                return conn
+            if peer.dialing >= MOST_DIALING:
+                line, why = peer.waiting, Refused("no connection in time")
+            elif time.monotonic() < peer.failed_at + AFTER_FAILURE:
+                self._next(peer)
+                raise Refused("none came up just now")  # more of them would only lengthen its line
+            elif self.count < self.most:
+                return self._dial(peer, until)
+            elif self.resting:
+                conn = next(iter(self.resting))
+                self._tired(self.resting[conn], conn)
+                continue
+            else:
+                line, why = self.waiting, Refused("no descriptor left for a connection", scarce=True)
+            self._next(peer)  # a turn that led only to another line is for the next in its own
+            got = self._wait(line, Turn(peer, fresh), until, line is waited)
+            if got is None:
+                raise why
+            waited = line
+            if got is not DIAL:
+                if self._sound(got, sure):
+                    return got
+                self.drop(got)
+
+    def _rested(self, peer: Peer, sure: bool) -> Connection | None:
+        """An idle connection that is still sound, of those that have settled the latest used."""
+        while peer.idle:
+            conn = peer.idle.pop(0 if time.monotonic() < peer.idle[-1].used + SETTLE else -1)
+            self.hub.unidle(conn.fd)
+            del self.resting[conn]
+            if self._sound(conn, sure):
+                return conn
+            self.drop(conn)
+        return None
+
+    @staticmethod
+    def _sound(conn: Connection, sure: bool) -> bool:
+        conn.reused = True
+        return conn.open and (not sure or conn.quiet())
 
     def _dial(self, peer: Peer, until: float) -> Connection:
         self.count += 1
@@ -80,12 +120,17 @@
 
     def give(self, peer: Peer, conn: Connection) -> None:
         """Back after a whole call."""
-        if not peer.takes_work or not conn.open or len(conn.incoming) or self.waiting:
+        if not peer.takes_work or not conn.open or len(conn.incoming):
             self.drop(conn)
             return
         conn.used = time.monotonic()
+        for line in (peer.waiting, self.waiting):
+            if line and self._wake(line, conn, lambda turn: turn.peer is peer and not turn.fresh):
+                return
+        if self.waiting:  # for a descriptor, to reach other engines
+            self.drop(conn)
+            return
         peer.idle.append(conn)
-        self._next(peer)
         self.resting[conn] = peer
         self.hub.watch(conn.fd, self._news, peer, conn)
         if not self._sweeping:
@@ -128,35 +173,41 @@
 
     def _left(self) -> None:
         self.count -= 1
-        if self.waiting:
-            self.hub.wake(*self.waiting.popleft())
+        self._freed()
 
-    def _room(self, until: float) -> None:
-        while self.count >= self.most:
-            if self.resting:
-                conn = next(iter(self.resting))
-                self._tired(self.resting[conn], conn)
-                continue
-            if not self._wait(self.waiting, until):
-                raise Refused("no descriptor left for a connection", scarce=True)
+    def _freed(self) -> None:
+        """Room for a connection: for who waits longest."""
+        if self.waiting and self.count < self.most:
+            self._wake(self.waiting, DIAL)
 
-    def _wait(self, line: deque, until: float) -> bool:
-        """Wait in a line for a turn; False where none comes in time."""
+    def _next(self, peer: Peer) -> None:
+        """A turn that its owner did not use, or one more, goes on to who waits longest."""
+        if peer.waiting and peer.dialing < MOST_DIALING:
+            self._wake(peer.waiting, DIAL)
+        self._freed()
+
+    def _wait(self, line: deque, turn: Turn, until: float, first: bool) -> Any:
+        """Wait in a line: a connection or DIAL, None where no turn comes in time. Whose turn another has used
+        up waits `first` in it."""
         seconds = until - time.monotonic()
         if seconds <= 0:
-            return False
-        wait = (getcurrent(), self.hub.begin_wait())
-        line.append(wait)
+            return None
+        turn.worker, turn.wait = getcurrent(), self.hub.begin_wait()
+        (line.appendleft if first else line.append)(turn)
         try:
-            self.hub.park(seconds)
+            return self.hub.park(seconds)
         except TimedOut:
-            return wait not in line  # a turn that came at the last moment is one
+            return None
         finally:
-            if wait in line:
-                line.remove(wait)
-        return True
-
-    def _next(self, peer: Peer) -> None:
-        """An idle connection, or a turn to dial, for who waits longest."""
-        if peer.waiting:
-            self.hub.wake(*peer.waiting.popleft())
+            if turn in line:
+                line.remove(turn)
+
+    def _wake(self, line: deque, what: Any, fits: Callable[[Turn], bool] = lambda turn: True) -> bool:
+        """Pass it to the first that fits and still waits; whether there was one. A task that was interrupted,
+        or whose time is up, stands in line until it runs."""
+        for turn in list(line):
+            if fits(turn):
+                line.remove(turn)
+                if self.hub.wake(turn.worker, turn.wait, what):
+                    return True
+        return False
--- a/aspenrill/net/hub.py
+++ b/aspenrill/net/hub.py
@@ -153,11 +153,13 @@
                 del value  # as above: with them would stay the connection, and all that its tasks hold
         return value
 
-    def wake(self, worker: Worker, wait: int, value: Any = None) -> None:
-        """End that wait, unless it is over already."""
-        if worker.wait == wait:
-            worker.wait = 0
-            self._ready.append((worker, value))
+    def wake(self, worker: Worker, wait: int, value: Any = None) -> bool:
+        """End that wait, unless it is over already; whether it was this that ended it."""
+        if worker.wait != wait:
+            return False
+        worker.wait = 0
+        self._ready.append((worker, value))
+        return True
 
     def sleep(self, seconds: float) -> None:
         """Wait for that long."""
