--- /dev/null
+++ b/tests/merged.py
@@ -0,0 +1,63 @@
+"""A world whose engines come from sources, for tests of what is merged."""
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from aspenrill import api
+from aspenrill import sources as config
+from aspenrill.gathering import Gathering
+from aspenrill.membership.flaps import Damping
+from aspenrill.membership.rule import Rules, Spec
+from aspenrill.membership.tiers import TierRules
+from aspenrill.resolver.cache import Lifetimes
+from aspenrill.resolver.lookup import Patience
+from standins.nameserver import NameServer
+from standins.world import SETTINGS, World
+
+SERVICE, SD = "_data._tcp.x.example.", "_tds._tcp.x.example."
+ROSTER = config.SourceSpec("roster", "bulletin", Spec("roster"))
+RULES = Rules(confirm=0.4, restart=0.5, damping=Damping(), tiers=TierRules(step=0.1, settle=0.5))
+
+
+class Merged:
+    """A world whose engines come from sources: a bulletin that the test speaks for, and a name server."""
+
+    def __init__(self, protocol: str, engines: int = 2, types: str = "bulletin srv", host: str = "127.0.0.1",
+                 settings: api.Settings = SETTINGS, rules: Rules = RULES) -> None:
+        self.world = World(protocol, engines, settings, listed=False, host=host)
+        self.hub, self.engines = self.world.hub, self.world.engines
+        self.server = NameServer(self.hub)
+        self.resolver = config.ResolverSpec("main", (self.server.address,), Patience(0.2, 0.5),
+                                            Lifetimes(least=0.1, early=(0.5, 0.6)))
+        rows = {"bulletin": ROSTER,
+                "srv": config.SourceSpec("records", "srv", Spec("records", False, 0.5), "main", SERVICE),
+                "dns-sd": config.SourceSpec("instances", "dns-sd", Spec("instances", True, 0.5), "main", SD)}
+        self.sources = config.Sources(tuple(rows[name] for name in types.split()), (self.resolver,), rules)
+        self.gathering: Gathering | None = None
+
+    def begin(self) -> None:
+        self.gathering = Gathering(self.hub, self.world.node.owner.clock, self.sources, ("std",),
+                                   self.world.node.post)
+
+    def roster(self, *rows, whole: bool = False) -> None:
+        (self.gathering.roster.told if whole else self.gathering.roster.changed)("roster", rows)
+
+    def srv(self, *engines, ttl: int = 1, **more) -> None:
+        self.server.srv(SERVICE, *((more.get("priority", 0), more.get("weight", 1), e.listener.address[1],
+                                    f"{e.name}.example.", e.listener.address[0]) for e in engines), ttl=ttl)
+
+    def instance(self, name: str, engine, *texts: str) -> None:
+        self.server.put(f"{name}.{SD}", "SRV", f"0 0 {engine.listener.address[1]} {engine.name}.example.")
+        self.server.put(f"{name}.{SD}", "TXT", *(" ".join(f'"{text}"' for text in texts or ("v=1",)),))
+        self.server.put(f"{engine.name}.example.", "A", engine.listener.address[0])
+
+    @property
+    def live(self) -> set[int]:
+        return {p.address[1] for p in self.world.node.owner.peers.values() if p.takes_work}
+
+    def listed(self, *engines, within: float = 8.0) -> None:
+        wanted = {e.listener.address[1] for e in engines}
+        self.world.until(lambda: self.live == wanted, within)
+
+    def run(self, play: Callable[[], None]) -> None:
+        self.world.run(play)
--- /dev/null
+++ b/tests/test_both_connections.py
@@ -0,0 +1,177 @@
+"""Connections on sockets, each rule played once per protocol: broken, many, quiet, mute and gone."""
+from __future__ import annotations
+
+import gc
+import socket
+import struct
+import time
+from collections import Counter
+from dataclasses import replace
+
+import pytest
+
+from aspenrill import api
+from aspenrill.core.books import Attempt, Call, Peer, Probed
+from aspenrill.members import Member
+from aspenrill.net.conn import Connection, connect
+from aspenrill.net.hub import Closed, Task
+from standins.world import Act, World
+
+PROTOCOLS = pytest.mark.parametrize("protocol", ["thrift", "tds"])
+
+
+@PROTOCOLS
+def test_a_connection_that_broke_while_idle_is_not_used(protocol):
+    # an idle connection that its engine has closed must not cost a request anything
+    world = World(protocol, 1)
+
+    def play():
+        client = world.client("once")
+        for i in range(3):
+            assert client.ask(f"insert {i}").kind == "served"
+            for conn in list(world.engines[0].listener.connections):
+                conn.close()
+            world.hub.sleep(0.02)
+        assert len(world.engines[0].began) == 3
+    world.run(play)
+
+
+@PROTOCOLS
+def test_new_connections_that_break_put_no_engine_out(protocol):
+    # a probe that was cut off put a healthy engine out, and so the next
+    world = World(protocol, 1)
+
+    def play():
+        engine, node = world.engines[0], world.node
+        peer, serve, count = node.owner.peers[engine.name], engine.serve, [0]
+
+        def resetting(conn):
+            count[0] += 1
+            if count[0] % 3:
+                conn.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                return conn.close()
+            serve(conn)
+
+        engine.listener.serve = resetting
+        found, take = [], node.owner.take
+        node.owner.take = lambda event: (found.append(event), take(event))
+        for _ in range(4):
+            node.owner.engines.probe(peer)
+            world.until(lambda: any(isinstance(e, Probed) for e in found))
+            assert found.pop().outcome is api.Outcome.OK
+            node.pools.retire(peer)
+            found.clear()
+        assert count[0] == 12 and node.owner.gateway.fleet.engines[engine.name].healthy
+    world.run(play)
+
+
+@PROTOCOLS
+def test_more_requests_than_connections_take_turns(protocol):
+    # descriptors are budgeted: what finds none waits a little, and is told that nothing ran if none comes
+    world = World(protocol, 1)
+
+    def play():
+        world.node.pools.most = 2
+        world.engines[0].act = lambda s: Act(after=0.02)
+        clients = [world.client() for _ in range(6)]
+        for client in clients:
+            client.send("select 1")
+        assert [client.read(5).kind for client in clients] == ["served"] * 6
+        assert world.engines[0].most <= 2 and world.node.pools.count <= 2
+    world.run(play)
+
+
+@PROTOCOLS
+def test_quiet_connections_give_way_to_new_ones(protocol):
+    # clients that ask once and stay took every place: nobody else was accepted any more
+    world = World(protocol, 1)
+
+    def play():
+        listener = world.node.fronts[0][1]
+        listener.most = 6
+        world.engines[0].act = lambda s: Act(after=1.0 if s == "slow" else 0)
+        first = world.client()
+        first.send("slow")
+        for _ in range(20):
+            assert world.client().ask("select 1").kind == "served"
+        assert len(listener.connections) <= 6
+        assert first.read(5).kind == "served"  # something was open on it
+    world.run(play)
+
+
+@PROTOCOLS
+def test_mute_connections_neither_shut_others_out_nor_stay(protocol, monkeypatch):
+    # connections by the hundred that say nothing, or half a message, filled the share of descriptors
+    monkeypatch.setattr("aspenrill.fronts.thrift.FIRST_FOR", 0.5)
+    monkeypatch.setattr("aspenrill.fronts.tds.LOGIN_FOR", 0.5)
+    world = World(protocol, 1)
+
+    def play():
+        listener = world.node.fronts[0][1]
+        listener.most = 6
+        usual = world.client()
+        assert usual.ask("select 1").kind == "served"
+        mute = [connect(world.hub, world.address, time.monotonic() + 2) for _ in range(40)]
+        for conn in mute[::2]:
+            conn.write(b"\x12\0", time.monotonic() + 2)
+        assert usual.ask("select 1").kind == "served"
+        assert world.client().ask("select 1").kind == "served"
+        until = time.monotonic() + 3
+        for conn in mute:
+            with pytest.raises(Closed):
+                conn.fill(until)
+        assert len(listener.connections) <= 2
+    world.run(play)
+
+
+@PROTOCOLS
+def test_nothing_stays_of_clients_and_engines_that_have_gone(protocol):
+    # errors held the frames that they came through, and so connections, until a collection that seldom came
+    world = World(protocol, 1)
+
+    def count() -> Counter:
+        return Counter(type(o).__name__ for o in gc.get_objects() if isinstance(
+            o, Connection | Call | Attempt | Peer | Task | BaseException))
+
+    def churn(rounds: int) -> None:
+        for at in range(rounds):
+            client = world.client()
+            assert client.ask("select 1").kind == "served"
+            if at % 3 == 0:
+                client.close()
+            elif at % 3 == 1:
+                world.engines[0].act = lambda s: Act(after=5)
+                client.send("select slow")
+                world.until(lambda: world.engines[0].running)
+                client.close()
+                world.engines[0].act = lambda s: Act()
+                world.until(lambda: not world.engines[0].running)
+            else:
+                stays.append(client.conn.sock.dup())  # asked once, and keeps its connection
+            gone = Member(f"s-{at:08x}f", ("127.0.0.1", 9), api.EngineState.LIVE)
+            world.tell([gone])
+            world.tell([replace(gone, state=api.EngineState.GONE)])
+        client = None
+        world.hub.sleep(0.4)
+        for peer in world.node.owner.peers.values():
+            world.node.pools.retire(peer)
+        world.hub.sleep(0.1)
+
+    def play():
+        world.node.fronts[0][1].most = 12
+        churn(20)
+        gc.collect()
+        before = count()
+        world.hub.sleep(0.2)  # the collection was a stall, in which requests are refused
+        churn(60)
+        after = count()
+        assert not {k: (before[k], n) for k, n in after.items() if n > before[k] + 8}
+        assert len(world.hub.timers._heap) < 600 and len(world.node.owner.gateway.fleet.engines) < 5
+
+    stays = []
+    gc.collect()
+    gc.disable()
+    try:
+        world.run(play)
+    finally:
+        gc.enable()
--- /dev/null
+++ b/tests/test_dns.py
@@ -0,0 +1,108 @@
+"""DNS messages: dnspython as the oracle, and what is spoilt or never ends."""
+from __future__ import annotations
+
+import time
+from ipaddress import ip_address
+
+import dns.message
+import dns.rrset
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from aspenrill.wire import Malformed
+from aspenrill.wire import dns as wire
+
+N = wire.name_of
+NAMES = st.sampled_from(["a.example.", "b.a.example.", "_x._tcp.a.example.", "c.example."])
+NUMBER = st.integers(0, 65535)
+RDATA = st.one_of(
+    st.tuples(st.just("A"), st.ip_addresses(v=4).map(str)),
+    st.tuples(st.just("AAAA"), st.ip_addresses(v=6).map(str)),
+    st.tuples(st.just("PTR"), NAMES), st.tuples(st.just("CNAME"), NAMES),
+    st.tuples(st.just("SRV"), st.tuples(NUMBER, NUMBER, NUMBER, NAMES).map(
+        lambda row: " ".join(map(str, row)))),
+    st.tuples(st.just("TXT"), st.text("abc=;", max_size=9).map(lambda text: f'"{text}"')))
+ROWS = st.lists(st.tuples(NAMES, st.integers(0, 2**31 - 1), RDATA), max_size=8)
+
+
+def message(rows) -> dns.message.Message:
+    reply = dns.message.make_response(dns.message.make_query("_x._tcp.a.example.", "SRV", use_edns=0))
+    for name, ttl, (kind, data) in rows:
+        reply.answer.append(dns.rrset.from_text(name, ttl, "IN", kind, data))
+    return reply
+
+
+def as_oracle(found: dns.message.Message) -> list[tuple]:
+    return sorted((rrset.name.to_text().lower(), int(rrset.rdtype), rrset.ttl, len(rrset))
+                  for rrset in found.answer)
+
+
+@settings(derandomize=True, deadline=None, max_examples=150, database=None)
+@given(ROWS)
+def test_what_another_library_writes_is_read_alike(rows):
+    reply = wire.read_reply(message(rows).to_wire())
+    assert reply.edns and wire.fold(reply.question[0]) == N("_x._tcp.a.example")
+    assert len(reply.records) == len(rows)
+    for got, (name, ttl, (kind, data)) in zip(reply.records, rows, strict=True):
+        assert (got.name, got.ttl, got.kind) == (N(name), ttl, wire.KINDS[kind])
+        if kind in ("A", "AAAA"):
+            assert ip_address(got.data) == ip_address(data)
+        elif kind in ("PTR", "CNAME"):
+            assert wire.text_of(got.data) == data
+        elif kind == "SRV":
+            *numbers, target = got.data
+            assert [*map(str, numbers), wire.text_of(target)] == data.split(" ")
+
+
+@settings(derandomize=True, deadline=None, max_examples=400, database=None)
+@given(ROWS, st.lists(st.tuples(st.integers(0, 400), st.integers(0, 255)), max_size=6), st.integers(0, 400))
+def test_spoilt_packets_end_as_malformed_or_as_the_other_library_reads_them(rows, changes, cut):
+    data = bytearray(message(rows).to_wire())
+    for at, value in changes:
+        data[at % len(data)] = value
+    data = bytes(data[:len(data) - cut % len(data)] if cut % 3 == 0 else data)
+    try:
+        reply = wire.read_reply(data)
+    except Malformed:
+        return
+    try:
+        other = dns.message.from_wire(data, ignore_trailing=True, one_rr_per_rrset=True)
+    except Exception:
+        return  # stricter than ours in matters that are not used here
+    if not reply.truncated:
+        kinds = set(wire.KINDS.values())
+        ours = sorted((wire.text_of(r.name).lower(), r.kind, r.ttl, 1) for r in reply.records)
+        theirs = [row for row in as_oracle(other) if row[1] in kinds]
+        if all(rrset.rdclass == 1 for rrset in other.answer):
+            assert [row[1:3] for row in ours] == [row[1:3] for row in theirs]
+
+
+@settings(derandomize=True, deadline=None, max_examples=300, database=None)
+@given(st.binary(max_size=600))
+def test_noise_is_malformed_and_nothing_worse(data):
+    try:
+        wire.read_reply(b"\0\1\x80\0" + data)
+    except Malformed:
+        pass
+
+
+@pytest.mark.parametrize("tail", [
+    b"\xc0\x0c\0\x21\0\1", b"\xc0\x0e\xc0\x0c\0\x21\0\1", b"\x01a\xc0\x0c\0\x21\0\1", b"\xc0\xff\0\x21\0\1",
+    b"\x3f" + b"a" * 20, (b"\x3f" + b"a" * 63) * 5 + b"\0\0\x21\0\1"],
+    ids=["itself", "in turns", "label and back", "forward", "cut", "long"])
+def test_names_that_never_end(tail):
+    with pytest.raises(Malformed):
+        wire.read_reply(wire.HEAD.pack(1, 0x8000, 1, 0, 0, 0) + tail)
+
+
+def test_a_packet_of_names_that_point_at_each_other_costs_little():
+    # 64 KB of records whose names are chains of pointers would hold the loop up for seconds
+    head = wire.HEAD.pack(1, 0x8000, 1, 4000, 0, 0) + b"".join(
+        b"\x01a" for _ in range(120)) + b"\0" + b"\0\x21\0\1"
+    at, body = 12, b""
+    for _ in range(4000):
+        body += bytes([0xC0 | at >> 8, at & 255]) + b"\0\x01\0\1\0\0\0\x3c\0\4\x7f\0\0\1"
+    began = time.process_time()
+    assert len(wire.read_reply(head + body).records) == 4000
+    assert time.process_time() - began < 1.0
--- a/tests/test_sources.py
+++ b/tests/test_sources.py
@@ -1,82 +1,19 @@
 """Sources on sockets: scripted name servers, the merged list, and engines whose own logs tell what came."""
 from __future__ import annotations
 
-import json
-import subprocess
-import sys
 import time
-from collections.abc import Callable
 from dataclasses import replace
 
 import pytest
-from test_tool import CONFIG, GOOD, INFO
+from merged import ROSTER, SD, SERVICE, Merged
 
-from aspenrill import api, application
-from aspenrill import sources as config
-from aspenrill.control import Gateway
+from aspenrill import api
 from aspenrill.gathering import Gathering
-from aspenrill.membership.flaps import Damping
-from aspenrill.membership.rule import Rules, Spec
-from aspenrill.membership.tiers import TierRules
-from aspenrill.net.hub import Hub
-from aspenrill.node import ConfigError, platform
-from aspenrill.resolver.cache import Lifetimes
-from aspenrill.resolver.lookup import Patience
-from aspenrill.tool.sources import gather, print_report
-from aspenrill.wire import dns
 from standins.nameserver import Act, NameServer
-from standins.scene import play
 from standins.world import ROWS, SETTINGS, World
 from standins.world import Act as Work
 
 PROTOCOLS = pytest.mark.parametrize("protocol", ["thrift", "tds"])
-SERVICE, SD = "_data._tcp.x.example.", "_tds._tcp.x.example."
-ROSTER = config.SourceSpec("roster", "bulletin", Spec("roster"))
-RULES = Rules(confirm=0.4, restart=0.5, damping=Damping(), tiers=TierRules(step=0.1, settle=0.5))
-
-
-class Merged:
-    """A world whose engines come from sources: a bulletin that the test speaks for, and a name server."""
-
-    def __init__(self, protocol: str, engines: int = 2, types: str = "bulletin srv", host: str = "127.0.0.1",
-                 settings: api.Settings = SETTINGS, rules: Rules = RULES) -> None:
-        self.world = World(protocol, engines, settings, listed=False, host=host)
-        self.hub, self.engines = self.world.hub, self.world.engines
-        self.server = NameServer(self.hub)
-        self.resolver = config.ResolverSpec("main", (self.server.address,), Patience(0.2, 0.5),
-                                            Lifetimes(least=0.1, early=(0.5, 0.6)))
-        rows = {"bulletin": ROSTER,
-                "srv": config.SourceSpec("records", "srv", Spec("records", False, 0.5), "main", SERVICE),
-                "dns-sd": config.SourceSpec("instances", "dns-sd", Spec("instances", True, 0.5), "main", SD)}
-        self.sources = config.Sources(tuple(rows[name] for name in types.split()), (self.resolver,), rules)
-        self.gathering: Gathering | None = None
-
-    def begin(self) -> None:
-        self.gathering = Gathering(self.hub, self.world.node.owner.clock, self.sources, ("std",),
-                                   self.world.node.post)
-
-    def roster(self, *rows, whole: bool = False) -> None:
-        (self.gathering.roster.told if whole else self.gathering.roster.changed)("roster", rows)
-
-    def srv(self, *engines, ttl: int = 1, **more) -> None:
-        self.server.srv(SERVICE, *((more.get("priority", 0), more.get("weight", 1), e.listener.address[1],
-                                    f"{e.name}.example.", e.listener.address[0]) for e in engines), ttl=ttl)
-
-    def instance(self, name: str, engine, *texts: str) -> None:
-        self.server.put(f"{name}.{SD}", "SRV", f"0 0 {engine.listener.address[1]} {engine.name}.example.")
-        self.server.put(f"{name}.{SD}", "TXT", *(" ".join(f'"{text}"' for text in texts or ("v=1",)),))
-        self.server.put(f"{engine.name}.example.", "A", engine.listener.address[0])
-
-    @property
-    def live(self) -> set[int]:
-        return {p.address[1] for p in self.world.node.owner.peers.values() if p.takes_work}
-
-    def listed(self, *engines, within: float = 8.0) -> None:
-        wanted = {e.listener.address[1] for e in engines}
-        self.world.until(lambda: self.live == wanted, within)
-
-    def run(self, play: Callable[[], None]) -> None:
-        self.world.run(play)
 
 
 @PROTOCOLS
@@ -333,127 +270,3 @@
         m.hub.sleep(1.2)
         assert len(m.server.asked) == asked, "the old resolver is still asked"
     m.run(play)
-
-
-# ---- the module: weights ------------------------------------------------------------------------------
-
-@pytest.mark.parametrize("weights, busy", [
-    ((1, 3), False), ((1, 3), True), ((10, 30, 0), True), ((0, 0), False), ((None, 2, 2), True)])
-def test_srv_weights_reach_the_module_as_shares(weights, busy):
-    # RFC 2782: chosen in proportion, 0 seldom, and as often as any where all are 0
-    spec = api.QueryClass(1.0, 5.0, api.Effect.SAFE)
-    gateway = Gateway(api.Settings((spec,), (1000,)), 3, 0.0)
-    gateway.handle(0.0, api.ListUpdate(api.ListMode.COMPLETE, tuple(
-        api.EngineEntry(f"e{i}", api.EngineState.LIVE, weight=w) for i, w in enumerate(weights))))
-    sent, now, out = [0] * len(weights), 0.0, []
-    for at in range(2000):
-        now += 0.01
-        for action in gateway.handle(now, api.Request(f"r{at}", 0, 5.0)):
-            if isinstance(action, api.Send):
-                sent[int(action.engine[1:])] += 1
-                out.append(action)
-        while len(out) > (40 if busy else 0):
-            one = out.pop(0)
-            gateway.handle(now, api.AttemptEnded(one.request, 0, one.engine, api.Outcome.OK, 0.01, True,
-                                                 0.01))
-    stated = [w for w in weights if w is not None]
-    mean = sum(stated) / len(stated) or 1
-    wanted = [1.0 if w is None or not sum(stated) else max(0.01, w / mean) for w in weights]
-    for got, share in zip(sent, wanted, strict=True):
-        assert got / 2000 == pytest.approx(share / sum(wanted), abs=0.04)
-
-
-# ---- platform and tool --------------------------------------------------------------------------------
-
-FILE = '''enabled = true
-[[source]]
-name = "roster"
-type = "bulletin"
-[[source]]
-name = "weekend"
-type = "srv"
-service = "_data._tcp.x.example"
-[[resolver]]
-servers = ["@"]
-'''
-
-
-def test_a_node_of_the_platform_with_further_sources(tmp_path):
-    hub, lines = Hub(), []
-    hub.log = lines.append
-    server = NameServer(hub)
-    server.srv(SERVICE, (0, 1, 7001, "a.example.", "127.0.0.1"), (0, 1, 7002, "b.example.", "127.0.0.1"))
-    item = {"no": 1, "roster": {"seq": 1, "whole": True, "hosts": [
-        {"host": "s-00000001", "dial": "127.0.0.1:7001", "site": "z", "class": "k", "block": 0,
-         "health": "terminating", "share": 1, "born_ms": 0}]}}
-    path, table = tmp_path / "config.json", tmp_path / "sources.toml"
-    good = FILE.replace("@", f"127.0.0.1:{server.address[1]}")
-    path.write_text(json.dumps(CONFIG | {"settings": INFO, "known": {"no": 1, "items": [item]}}))
-    table.write_text(good)
-    node = platform(hub, {"NODE_CONFIG": str(path)}, tmp_path / "none.toml", table)
-
-    def scene():
-        until = time.monotonic() + 8
-        while len(node.owner.peers) < 1 and time.monotonic() < until:
-            hub.sleep(0.02)
-        assert [p.address[1] for p in node.owner.peers.values() if p.takes_work] == [7002]
-        table.write_text("enabled = true\n")
-        node.reload()
-        assert any("configuration not taken" in line and "source" in line for line in lines)
-
-    play(hub, scene)
-    table.write_text(good.replace('type = "bulletin"', 'type = "list"'))
-    with pytest.raises(ConfigError, match=r"sources.toml: source\[0\].engine"):
-        platform(Hub(), {"NODE_CONFIG": str(path)}, tmp_path / "none.toml", table)
-
-
-def test_a_node_of_the_platform_imports_nothing_that_it_does_not_use():
-    code = ("import sys; from aspenrill import start; print(' '.join(m for m in sys.modules if m.startswith("
-            "('aspenrill.resolver', 'aspenrill.membership', 'aspenrill.sources', 'aspenrill.application', "
-            "'aspenrill.gathering', 'aspenrill.roster.dnssd', 'aspenrill.sidecar', 'netaddr'))))")
-    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=60)
-    assert done.returncode == 0 and done.stdout.strip() == "", done
-
-
-def test_the_tool_tells_what_each_source_says_and_why_an_engine_is_in_or_out(capsys):
-    hub = Hub()
-    server = NameServer(hub)
-    server.srv("_tds._tcp.engines.example.", (0, 5, 14331, "a.example.", "127.0.0.1"),
-               (3, 5, 14332, "b.example.", "127.0.0.1"), (0, 5, 14333, "c.example.", "192.0.2.1"))
-    text = GOOD.replace('state = "live"', 'state = "draining"') + f'''
-[[source]]
-name = "records"
-type = "srv"
-service = "_tds._tcp.engines.example"
-[[source]]
-name = "others"
-type = "dns-sd"
-service = "_tds._tcp.nobody.example"
-resolver = "dead"
-[[resolver]]
-name = "main"
-servers = ["127.0.0.1:{server.address[1]}"]
-[[resolver]]
-name = "dead"
-servers = ["127.0.0.1:9"]
-question_ms = 100
-lookup_ms = 200
-[addresses]
-deny = ["192.0.2.0/24"]
-'''
-    app, faults = application.read(text)
-    assert not faults
-    found, lines = gather(app, 5.0, hub)
-    print_report(found, lines)
-    out, err = capsys.readouterr()
-    rows = {one["address"]: (one["in"], one["why"]) for one in found["engines"]}
-    assert rows["127.0.0.1:14331"] == (False, "file says that it drains")
-    assert rows["127.0.0.1:14332"][1] in ("tier 3 is not needed", "named live by records")
-    assert "192.0.2.1:14333" not in rows and "not allowed" in err
-    states = {one["name"]: one["state"] for one in found["sources"]}
-    assert states == {"file": "answers", "records": "answers", "others": "fails"}
-    assert "source others (dns-sd) fails, 0 entries: 127.0.0.1:9" in out and "out 127.0.0.1:14331" in out
-
-
-def test_names_of_services_are_as_dns_has_them():
-    assert dns.text_of(dns.name_of(SERVICE)) == SERVICE
