Connections to clients end in order: what was taken is answered, then a lingering close

Cause: net/conn.close closed at once, and fronts/thrift Session.run and fronts/tds Session.run called it in their finally. Over unread bytes the system resets, and answers that it still held went with that; requests that were open on the connection of a bad client (malformed frame, 16 unusable messages, answers not read) were given up as if their client had left, though they had been taken; an end of stream closed under the writer, so that an answer half written was cut for a client that had shut its side only. FIRST_FOR (2 s) bounded the whole first frame, and FRAME_FOR the whole of each later one: a client that wrote slowly was closed without an answer. Change: Connection.linger shuts the write side, discards what comes until the other side's end or 1 s, giving way between reads, then closes; where nothing was ever written there is nothing to lose, and it closes at once. The listener does it for every connection, which counts until then. Sessions take nothing more after a fault, discard, write what is owed, and leave the connection to that. A client's end flags its requests as gone at once; what the writer holds is still written. FIRST_FOR bounds the first byte, FRAME_FOR the pause between two pieces, WHOLE_FOR (10 s, as for an answer) the frame; the same in TDS, whose last word now comes after the answer, not within it. A half frame is told by Connection.begun, no longer by busy.

--- a/aspenrill/fronts/tds.py
+++ b/aspenrill/fronts/tds.py
@@ -5,20 +5,22 @@
 import os
 import re
 import time
+import traceback
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 from typing import Any
 
 from ..core.books import Asked, Call, Failed, Final, Left, Refused, Result, Served
 from ..net.conn import Connection
-from ..net.hub import Closed, Hub, Signal, TimedOut
+from ..net.hub import READ, Closed, Hub, Signal, TimedOut
 from ..wire import Malformed, tds
 from ..wire.sql import table_group
 
 LOGIN_FOR = 2.0  # seconds for a client to log in
 MOST_LOGIN = 16 * 1024  # bytes of a message before that
 IDLE_FOR = 3600.0
-PACKET_FOR = 2.0  # seconds for the rest of a message once it has begun
+PACKET_FOR = 2.0  # seconds between two pieces of a message: some clients write slowly
+WHOLE_FOR = 10.0  # seconds for a whole message from its first packet's head
 WRITE_FOR = 10.0  # seconds for a client to take one packet
 MOST_STATEMENT = 256 * 1024
 MOST_MESSAGE = 2 * MOST_STATEMENT + 1024
@@ -88,6 +90,7 @@
         self.call: Call | None = None
         self.busy = False  # an answer is being written
         self.attention = False  # and is to be cut short
+        self.ending = False  # nothing more is taken
         self.idle = Signal(service.hub)
 
     def run(self) -> None:
@@ -97,36 +100,63 @@
             while True:
                 self._message()
         except Malformed as why:
+            self._see_out()
             self._end_with(tds.error(UNUSABLE, str(why), 20))
-        finally:
-            self.conn.close()
-            if self.call is not None:
-                self.service.post(Left(self.call))
-                self.call = None
+        except (Closed, TimedOut):
+            self._see_out()
+        except Exception:
+            self.service.hub.report("a TDS connection", traceback.format_exc())
+            self._see_out()
+
+    def _see_out(self) -> None:
+        """Take nothing more. What comes is discarded until what is owed is written, or the client ends: then
+        its request has lost it. The connection is left for its orderly close."""
+        conn = self.conn
+        self.ending, conn.begun = True, False
+        try:
+            while (self.call is not None or self.busy) and not conn.over:
+                conn.incoming.clear()
+                conn.fill(None)  # the request ends at its deadline
+                self.service.hub.give_way()
+        except Closed:
+            pass
+        conn.incoming.clear()
+        self._left()
+        while self.busy and conn.open:
+            self.idle.wait(None)  # the writer's own time is bounded
+
+    def _left(self) -> None:
+        """The client has gone, or cancelled: what is open has lost it."""
+        call, self.call = self.call, None
+        if call is not None:
+            self.conn.busy -= 1
+            call.gone = True
+            self.service.post(Left(call))
 
     # ---- reading --------------------------------------------------------------------------------------
 
     def _read(self, until: float, most: int = MOST_MESSAGE) -> tuple[int, bytes]:
-        """A whole message. Its first packet may be long in coming, the rest may not."""
+        """A whole message, its first head until then. TimedOut, Closed; Malformed where it cannot be one."""
         parts, size, last, kind = [], 0, False, None
         while not last:
-            head = tds.packet_head(self.conn.read(tds.HEAD.size, until))
+            head = tds.packet_head(self.conn.read(tds.HEAD.size, until, PACKET_FOR if parts else None))
+            until, self.conn.begun = until if parts else time.monotonic() + WHOLE_FOR, True
             if kind not in (None, head[0]):
                 raise Malformed("a message of two types")
             kind = head[0]
-            until = min(until, time.monotonic() + PACKET_FOR)
             size += head[2]
             if size > most:
                 raise Malformed(f"message of over {most} bytes")
-            parts.append(self.conn.read(head[2], until))
+            parts.append(self.conn.read(head[2], until, PACKET_FOR))
             last = bool(head[1] & tds.END_OF_MESSAGE)
             if last and head[1] & tds.IGNORE:
-                return 0, b""
+                kind, parts = 0, []
+        self.conn.begun = False
         return kind, b"".join(parts)
 
     def _open(self) -> None:
+        kind, body = self._read(time.monotonic() + LOGIN_FOR, MOST_LOGIN)
         until = time.monotonic() + LOGIN_FOR
-        kind, body = self._read(until, MOST_LOGIN)
         if kind == tds.PRELOGIN:
             tds.read_prelogin(body)
             self.conn.write(tds.packets(tds.REPLY, tds.prelogin()), until)
@@ -141,9 +171,12 @@
             raise Closed("login refused")
         self.login, self.mapping = login, mapping
         self.conn.spoke, self.conn.used = True, time.monotonic()
-        self.conn.write(tds.packets(tds.REPLY, tds.login_answer(login, self.service.name)), until)
+        self.conn.write(tds.packets(tds.REPLY, tds.login_answer(login, self.service.name)),
+                        time.monotonic() + LOGIN_FOR)
 
     def _message(self) -> None:
+        if self.conn.draining:
+            self.conn.end_if_quiet()
         kind, body = self._read(time.monotonic() + IDLE_FOR)
         self.conn.used = arrived = time.monotonic()
         if kind == tds.ATTENTION:
@@ -160,10 +193,7 @@
 
     def _attend(self) -> None:
         """Cancel: what is open loses its client, what is being written ends early; one acknowledgement."""
-        if self.call is not None:
-            self.service.post(Left(self.call))
-            self.call = None
-            self.conn.busy -= 1
+        self._left()
         if self.busy:
             self.attention = True  # the writer ends its message with the acknowledgement
             self.idle.wait(WRITE_FOR * 2)
@@ -247,12 +277,17 @@
                 send(tds.done(tds.ACKNOWLEDGED), True)
         except (Closed, TimedOut):
             self.conn.close()  # the client can tell that the answer is not whole
+            self._left()
         finally:
             self.busy = self.attention = False
             self.conn.busy -= 1
             self.conn.used = time.monotonic()
             self.service.writing -= 1
             self.idle.set()
+            if self.ending:
+                self.service.hub.end_wait(self.conn.fd, READ, Closed("all is written"))
+            elif self.conn.draining:
+                self.conn.end_if_quiet()
 
     def _end_with(self, token: bytes) -> None:
         """A last word, if the client takes it at once."""
--- a/aspenrill/fronts/thrift.py
+++ b/aspenrill/fronts/thrift.py
@@ -3,13 +3,14 @@
 
 import re
 import time
+import traceback
 from collections import deque
 from collections.abc import Callable
 from typing import Any
 
 from ..core.books import Asked, Call, Failed, Final, Left, Refused, Served
 from ..net.conn import Connection
-from ..net.hub import Closed, Hub, TimedOut
+from ..net.hub import Closed, Hub, Signal, TimedOut
 from ..wire import Malformed, thrift
 from ..wire.sql import table_group
 
@@ -17,8 +18,9 @@
 MOST_OPEN = 32  # requests open on a connection, as the protocol has it
 HOLDOFF = 1000  # milliseconds that a client with more than that should stay away
 MOST_BAD = 16  # messages that cannot be used, after which a connection is closed
-FIRST_FOR = 2.0  # seconds for the first whole frame; later a connection may be quiet for good
-FRAME_FOR = 2.0  # seconds for the rest of a frame once it has begun
+FIRST_FOR = 2.0  # seconds for the first byte; later a connection may be quiet for good
+FRAME_FOR = 2.0  # seconds between two pieces of a frame: some clients write slowly
+WHOLE_FOR = 10.0  # seconds for a whole frame from its first byte, as long as an answer may take
 WRITE_FOR = 10.0  # seconds for the writing of one answer
 MARGIN = 0.1  # seconds of a client's time kept back for the way of the answer; being behind comes on top
 TURN = 8  # messages of one client taken at a time, if so many lie there
@@ -56,38 +58,70 @@
         self.busy = False
         self.bad = 0  # messages that could not be used
         self.last = 0  # sequence number of the last call: they start at 1 and count up
+        self.written: Signal | None = None  # the end waits for the writer
 
     def run(self) -> None:
-        """Read until the client closes; what is open then has lost its client."""
+        """Read until the client closes, or is to be read no more; what was taken gets its answer before the
+        end, unless its client has gone. The connection is left for its orderly close."""
         try:
-            self._frame(time.monotonic() + FIRST_FOR)
-            self.conn.spoke = True
-            taken = 0
-            while self.bad < MOST_BAD:
-                if len(self.answers) > MOST_OPEN:
-                    raise Closed("answers are not read")
-                taken = taken + 1 if len(self.conn.incoming) else 0
-                if taken >= TURN:
-                    taken = 0
-                    self.service.hub.give_way()  # one client's flood is not to starve the others
-                self._frame(None)
-        finally:
-            if self.fresh:
-                self._flush()  # what has been answered goes out before the end
-            self.conn.close()
-            for call in self.open.values():
-                self.service.post(Left(call))
-            self.open.clear()
+            self._take_all()
+        except (Closed, TimedOut):
+            pass
+        except Exception:
+            self.service.hub.report("a thrift connection", traceback.format_exc())
+        self._see_out()
+
+    def _take_all(self) -> None:
+        conn = self.conn
+        self._frame(time.monotonic() + FIRST_FOR)
+        conn.spoke = True
+        taken = 0
+        while self.bad < MOST_BAD:
+            if len(self.answers) > MOST_OPEN:
+                raise Closed("answers are not read")
+            taken = taken + 1 if len(conn.incoming) else 0
+            if taken >= TURN:
+                taken = 0
+                self.service.hub.give_way()  # one client's flood is not to starve the others
+            self._frame(None)
+
+    def _see_out(self) -> None:
+        """Take nothing more. What comes is discarded until all owed is written, or the client ends."""
+        conn, hub = self.conn, self.service.hub
+        if self.fresh:
+            self._flush()  # what has been answered goes out before the end
+        conn.draining, conn.begun = True, False  # its last answer ends it, if nothing lies unread
+        try:
+            while conn.busy and not conn.over:
+                conn.incoming.clear()
+                conn.fill(None)  # each request that is open ends at its deadline
+                hub.give_way()
+        except Closed:
+            pass
+        conn.incoming.clear()
+        self._left()
+        while self.busy and conn.open:
+            self.written = Signal(hub)
+            self.written.wait(None)  # the writer's own time is bounded
+
+    def _left(self) -> None:
+        """The client has gone: what is open has lost it."""
+        self.conn.busy -= len(self.open)
+        for call in self.open.values():
+            call.gone = True
+            self.service.post(Left(call))
+        self.open.clear()
 
     def _frame(self, until: float | None) -> None:
         conn = self.conn
         if not len(conn.incoming):
+            if conn.draining:
+                conn.end_if_quiet()
             conn.fill(until)
-        conn.busy += conn.spoke  # a first frame that stays half keeps no place
-        until = until or time.monotonic() + FRAME_FOR
-        data, start, end = conn.frame(MOST_FRAME, until)
+        conn.begun = True
+        data, start, end = conn.frame(MOST_FRAME, time.monotonic() + WHOLE_FOR, FRAME_FOR)
+        conn.begun = False
         conn.used = arrived = time.monotonic()
-        conn.busy -= conn.spoke
         usual = thrift.read_serve(data, start, end)
         if usual is not None and usual[0] == self.last + 1 and len(self.open) < MOST_OPEN:
             self.last = usual[0]
@@ -118,6 +152,7 @@
             call = self.open.pop(wanted, None) if isinstance(wanted, int) else None
             if call is not None:
                 self.conn.busy -= 1
+                call.gone = True
                 self.service.post(Left(call))
         elif message.kind != thrift.CALL:
             self.bad += 1
@@ -227,6 +262,7 @@
             rest = self.conn.offer_parts(parts)
         except Closed:
             self.conn.close()
+            self._left()
             return
         if rest:
             self.answers.append(rest)
@@ -234,6 +270,8 @@
             self.conn.busy += 1
             self.service.writing += 1
             self.service.hub.spawn(self._write, name="thrift writer")
+        elif self.conn.draining:
+            self.conn.end_if_quiet()
 
     def _write(self) -> None:
         try:
@@ -241,7 +279,12 @@
                 self.conn.write(self.answers.popleft(), time.monotonic() + WRITE_FOR)
         except (Closed, TimedOut):
             self.conn.close()  # the client can tell that the answer is not whole
+            self._left()
         finally:
             self.busy = False
             self.conn.busy -= 1
             self.service.writing -= 1
+            if self.conn.draining:
+                self.conn.end_if_quiet()
+            if self.written is not None:
+                self.written.set()
--- a/aspenrill/net/conn.py
+++ b/aspenrill/net/conn.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import errno
+import select
 import socket
 import time
 from collections.abc import Callable
@@ -16,6 +17,7 @@
 LEAST_READ = 2048  # bytes asked for in one read; more after one that was filled, until few come
 MOST_PARTS = 512  # that one vectored write takes, well under IOV_MAX
 AGAIN = (BlockingIOError, InterruptedError)
+ENDS = getattr(select, "POLLRDHUP", 0)  # also with bytes unread before the end; 0 where the system lacks it
 SCARCE = (errno.EADDRNOTAVAIL, errno.EAGAIN)  # no port, or no room in the system, for a connection just now
 
 
@@ -49,12 +51,16 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.incoming, self.outgoing = Inbox(ring), Ring(ring)
         self.open = True
+        self.shut = False  # our write side is: what still comes is discarded, never taken
+        self.shut_at = 0.0
+        self.over = False  # the other side's end has been read, or it broke
         self.dry = False  # the last read took all there was: the next waits first
         self.grab = min(LEAST_READ, ring)
         self.reused = False  # for a pool: carried a call before
         self.begun = False  # within a message, so that nobody else can read on
         self.written = 0  # bytes that the system has taken over
         self.spoke, self.busy = False, 0  # for a listener: sent a whole message; how much is open on it
+        self.draining = False  # to end, in order, once nothing is open on it
         self.used = time.monotonic()  # when it was last of use
 
     def close(self) -> None:
@@ -66,6 +72,48 @@
             self.incoming.clear()
             self.outgoing.clear()
 
+    def end(self) -> None:
+        """Begin the orderly close: shut the write side. A task that reads gets Closed and is to `linger`."""
+        if self.open and not self.shut:
+            self.shut, self.shut_at = True, time.monotonic()
+            try:
+                self.sock.shutdown(socket.SHUT_WR)
+            except OSError:
+                self.over = True  # reset meanwhile
+            self.hub.end_wait(self.fd, READ, Closed("ended here"))
+
+    def end_if_quiet(self) -> bool:
+        """`end` it where nothing is open on it and nothing lies unread, in the system neither."""
+        quiet = self.open and not (self.shut or self.busy or self.begun or len(self.incoming))
+        if quiet and (quiet := self.ended() is not None):
+            self.end()
+        return quiet
+
+    def linger(self, seconds: float) -> None:
+        """The orderly close: `end` it, discard what comes until the other side's end or for so long, close.
+
+        A close over unread bytes would reset it, and what the system has still to pass on be lost with that.
+        Where nothing was ever written there is nothing to lose, and what has come is discarded once.
+        """
+        self.end()
+        self.incoming.clear()
+        until = time.monotonic() + (seconds if self.written else 0.0)
+        try:
+            while self.open and not self.over:
+                try:
+                    self.over = not self.sock.recv(RING)
+                except AGAIN:
+                    self.hub.wait_fd(self.fd, READ, left(until))
+                    continue
+                except OSError:
+                    break
+                left(until)
+                self.hub.give_way()  # a flood is not to starve the others
+        except (Closed, TimedOut):
+            pass
+        finally:
+            self.close()
+
     # ---- reading --------------------------------------------------------------------------------------
 
     def fill(self, until: float | None) -> None:
@@ -74,6 +122,8 @@
         while True:
             if not self.open:
                 raise Closed("closed here")
+            if self.shut:
+                raise Closed("ended here")
             if self.dry:
                 self.dry = False
                 inbox.rest()
@@ -93,6 +143,7 @@
             except AGAIN:
                 count = -1  # the wait is not within the handler: its error would hold this for as long
             except OSError as why:
+                self.over = True
                 raise Closed(str(why)) from None
             if count > 0:
                 self.dry = count < asked
@@ -102,17 +153,18 @@
                     self.grab = LEAST_READ
                 return
             if count != -1:
+                self.over = not count
                 raise Closed("more than fits" if count else "end of stream")
             self.dry = True
 
-    def read(self, count: int, until: float | None) -> bytes:
-        """Exactly so many bytes; they may be more than the ring holds."""
+    def read(self, count: int, until: float | None, pause: float | None = None) -> bytes:
+        """Exactly so many bytes; also more than the ring holds. `pause`: seconds between two pieces."""
         if len(self.incoming) >= count:
             return self.incoming.pull(count)
         parts, missing = [], count
         while missing:
             if not len(self.incoming):
-                self.fill(until)
+                self.fill(until if pause is None else min(until, time.monotonic() + pause))
             parts.append(self.incoming.pull(missing))
             missing -= len(parts[-1])
         return b"".join(parts)
@@ -147,9 +199,9 @@
             seen = len(inbox)
             self.fill(until)
 
-    def frame(self, most: int, until: float | None) -> tuple[bytes, int, int]:
+    def frame(self, most: int, until: float | None, pause: float | None = None) -> tuple[bytes, int, int]:
         """A message behind its length of 4 bytes, as bytes with its start and end there; Closed where it is
-        empty or longer than `most`. One that came whole is not copied."""
+        empty or longer than `most`. One that came whole is not copied. `pause`: as in `read`."""
         inbox = self.incoming
         data, at = inbox.data, inbox.at
         if len(data) - at > 4:
@@ -157,10 +209,10 @@
             if 0 < size <= most and at + 4 + size <= len(data):
                 inbox.drop(4 + size)
                 return data, at + 4, at + 4 + size
-        size = int.from_bytes(self.read(4, until), "big")
+        size = int.from_bytes(self.read(4, until, pause), "big")
         if not 0 < size <= most:
             raise Closed(f"frame of {size} bytes")
-        return self.read(size, until), 0, size
+        return self.read(size, until, pause), 0, size
 
     def quiet(self) -> bool:
         """Nothing has come, no end either: fit for another call."""
@@ -183,6 +235,12 @@
         except OSError:
             return True
 
+    def hung_up(self) -> bool:
+        """Whether the other side has ended or reset it, also where bytes lie unread before its end."""
+        look = select.poll()
+        look.register(self.fd, ENDS)
+        return bool(look.poll(0))
+
     # ---- writing --------------------------------------------------------------------------------------
 
     def write(self, data: bytes, until: float | None) -> None:
--- a/aspenrill/net/hub.py
+++ b/aspenrill/net/hub.py
@@ -205,6 +205,12 @@
         if self._masks.pop(fd, 0):
             self._poll.unregister(fd)
 
+    def end_wait(self, fd: int, mask: int, error: BaseException) -> None:
+        """Whoever waits to read it (READ), or to write it (WRITE), gets the error; the descriptor stays."""
+        waiter = self._waits[mask].pop(fd, None)
+        if waiter is not None:
+            self.wake(*waiter, error)
+
     def forget_fd(self, fd: int) -> None:
         """The descriptor is about to be closed: whoever waits for it gets Closed."""
         self._idle.pop(fd, None)
--- a/aspenrill/net/listener.py
+++ b/aspenrill/net/listener.py
@@ -19,6 +19,7 @@
 MUTE_FOR = 0.1  # seconds after which a connection that has said nothing may have to go
 REST_FOR = 4.5  # seconds after which a quiet one goes before any fresh one: usual clients close theirs sooner
 AT_ONCE = 16  # connections accepted before others have their turn
+LINGER_FOR = 1.0  # seconds that the other side has to end a connection which we have ended
 
 
 class Listener:
@@ -34,7 +35,7 @@
         self.sock.listen(BACKLOG)
         self.address = self.sock.getsockname()[:2]
         self.connections: dict[Connection, None] = {}
-        self.open = True
+        self.open, self.draining = True, False
         hub.spawn(self._accept, name=f"{name} listener")
 
     def close(self) -> None:
@@ -63,9 +64,7 @@
                 continue
             while self.open and len(self.connections) >= self.most and not self._make_room():
                 self.hub.sleep(BREATH)
-            conn = Connection(self.hub, sock)
-            self.connections[conn] = None
-            self.hub.spawn(self._serve, conn, name=f"{self.name} connection")
+            self._take(sock)
             accepted += 1
             if accepted % AT_ONCE == 0:
                 self.hub.give_way()
@@ -74,7 +73,7 @@
         """Close the connection that is missed least; False where something is open on each."""
         now, best = time.monotonic(), None
         for conn in self.connections:
-            if conn.busy:
+            if conn.busy or conn.spoke and conn.begun:
                 continue
             age = now - conn.used
             rank = int(age <= REST_FOR) * 2 + 1 if conn.spoke else int(age <= MUTE_FOR) * 2
@@ -91,10 +90,18 @@
         self.connections.pop(conn, None)
         conn.close()
 
+    def _take(self, sock: socket.socket) -> None:
+        conn = Connection(self.hub, sock)
+        conn.draining = self.draining
+        self.connections[conn] = None
+        self.hub.spawn(self._serve, conn, name=f"{self.name} connection")
+
     def _serve(self, conn: Connection) -> None:
         try:
-            self.serve(conn)
-        except (Closed, TimedOut):
-            pass
+            try:
+                self.serve(conn)
+            except (Closed, TimedOut):
+                pass
+            conn.linger(LINGER_FOR)
         finally:
             self._forget(conn)
--- /dev/null
+++ b/tests/test_lingering.py
@@ -0,0 +1,107 @@
+"""Connections to clients end in order: what was taken is answered, what crosses the end is not taken."""
+from __future__ import annotations
+
+import socket
+import time
+from dataclasses import replace
+
+import pytest
+
+from aspenrill.net.hub import READ, Closed
+from aspenrill.wire import tds, thrift
+from standins.world import ROWS, SETTINGS, Act, World
+
+BAD = {"thrift": b"\0\0\0\4GET ", "tds": tds.packets(tds.SQL_BATCH, tds.sql_batch("select 2"))}
+
+
+def ended(client) -> None:
+    """Its next read finds the end of the stream, not a reset."""
+    with pytest.raises(Closed, match="end of stream"):
+        client.conn.fill(time.monotonic() + 10)
+
+
+@pytest.mark.parametrize("protocol", ["thrift", "tds"])
+def test_what_is_open_is_answered_before_a_bad_client_is_ended(protocol):
+    # its request was taken: closing at once lost it
+    world = World(protocol, 1)
+
+    def play():
+        world.engines[0].act = lambda s: Act(after=0.2)
+        client = world.client()
+        client.send("select 1")
+        client.conn.write(BAD[protocol] * 2000, time.monotonic() + 10)
+        assert client.read(10).rows == ROWS
+        if protocol == "tds":
+            assert client.read(10).kind == "broken"
+        ended(client)
+        assert world.engines[0].statements == ["select 1"]
+        client.close()
+        world.until(lambda: not world.node.fronts[0][1].connections)
+    world.run(play)
+
+
+def test_answers_before_an_end_over_unread_bytes_arrive():
+    # the close reset the connection, and they went with it
+    world = World("thrift", 1)
+
+    def play():
+        client = world.client()
+        client.conn.sock.setblocking(True)
+        client.conn.sock.sendall(b"".join(thrift.frame(thrift.CALL, "nobody", at, b"") for at in range(1, 17))
+                                 + b"\0" * 100_000)  # all of it lies there before the first is read
+        client.conn.sock.setblocking(False)
+        assert [client.read(10).kind for _ in range(16)] == ["broken"] * 16
+        ended(client)
+    world.run(play)
+
+
+def test_an_answer_that_is_being_written_is_whole_for_a_client_that_has_shut_its_side():
+    world, long = World("thrift", 1, replace(SETTINGS, cores_by_kind=(64,))), [("1", "x" * 40, "end")] * 900
+
+    def play():
+        service, listener = world.node.fronts[0]
+        world.engines[0].act = lambda s: Act(rows=long)
+        client = world.client("usage-report")
+        world.until(lambda: listener.connections)
+        [conn] = listener.connections
+        conn.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        for at in range(16):  # more than the system's buffers take
+            client.send(f"select {at}")
+        world.until(lambda: len(world.engines[0].ended) == 16 and not world.node.owner.open)
+        world.until(lambda: service.writing)
+        client.conn.sock.shutdown(socket.SHUT_WR)
+        world.until(lambda: conn.fd not in world.hub._waits[READ])  # the end has been read
+        assert service.writing and [client.read(10).rows for _ in range(16)] == [long] * 16
+        ended(client)
+    world.run(play)
+
+
+def test_a_first_request_that_comes_slowly_is_taken(monkeypatch):
+    # 2 s for the whole of it closed connections of clients that were still writing
+    monkeypatch.setattr("aspenrill.fronts.thrift.FIRST_FOR", 0.2)
+    world = World("thrift", 1)
+
+    def play():
+        client, parts = world.client(), []
+        write = client.conn.write
+        client.conn.write = lambda data, _: parts.extend(data[at:at + 40] for at in range(0, len(data), 40))
+        client.send("select 1")
+        assert len(parts) > 3
+        for part in parts:
+            write(part, time.monotonic() + 5)
+            world.hub.sleep(0.12)
+        assert client.read(10).rows == ROWS
+    world.run(play)
+
+
+def test_a_flood_does_not_hold_a_lingering_connection_beyond_its_time():
+    world = World("thrift", 1)
+
+    def play():
+        client, listener = world.client(), world.node.fronts[0][1]
+        with pytest.raises(Closed):
+            for _ in range(1 << 20):
+                client.conn.write(BAD["thrift"] * 1000, time.monotonic() + 10)
+        world.until(lambda: not listener.connections)
+        assert world.client().ask("select 1").rows == ROWS
+    world.run(play)
