Listener.drain: the backlog accepted, each connection ended in order once nothing is open on it

Cause: leaving closes the listening socket, which resets what its backlog holds, and ends the process over resting connections, where a request may come in that very moment. Change: drain marks every connection as draining, ends those that are quiet, accepts what the backlog holds, then closes the listening socket. Nothing calls drain yet. Before, there was no drain.

--- a/aspenrill/net/listener.py
+++ b/aspenrill/net/listener.py
@@ -45,6 +45,28 @@
             self.hub.forget_fd(self.sock.fileno())
             self.sock.close()
 
+    def drain(self) -> None:
+        """No further connections but those that the backlog holds; each ends in order once nothing is open on
+        it and nothing lies unread: `connections` is empty LINGER_FOR after the last answer at the latest.
+        """
+        if not self.open:
+            return
+        self.draining = True
+        for conn in list(self.connections):
+            conn.draining = True
+            conn.end_if_quiet()  # else its own task does, or who writes the last answer
+        while True:
+            try:
+                self._take(self.sock.accept()[0])
+            except (InterruptedError, ConnectionAbortedError):
+                continue
+            except BlockingIOError:
+                break
+            except OSError as why:
+                self.hub.log(f"{self.name}: {why.strerror}; what waits to be accepted is left")
+                break
+        self.close()
+
     def _accept(self) -> None:
         accepted = 0
         while self.open:
--- a/tests/test_lingering.py
+++ b/tests/test_lingering.py
@@ -7,6 +7,8 @@
 
 import pytest
 
+from aspenrill.core.books import Closing
+from aspenrill.net.conn import Connection
 from aspenrill.net.hub import READ, Closed
 from aspenrill.wire import tds, thrift
 from standins.world import ROWS, SETTINGS, Act, World
@@ -105,3 +107,64 @@
         world.until(lambda: not listener.connections)
         assert world.client().ask("select 1").rows == ROWS
     world.run(play)
+
+
+def crossing(world, client, conn) -> None:
+    """A request is written between the last look at the connection and what is done upon it."""
+    def look() -> bool:
+        found = Connection.ended(conn)
+        if found is False:
+            client.send("select crossing")
+        return found
+    conn.ended = look
+
+
+def test_a_request_that_crosses_the_end_of_a_resting_connection_is_not_sent_on():
+    world = World("thrift", 1)
+
+    def play():
+        client, listener = world.client(), world.node.fronts[0][1]
+        assert client.ask("select 1").rows == ROWS
+        [conn] = listener.connections
+        crossing(world, client, conn)
+        listener.drain()
+        assert conn.shut
+        ended(client)
+        client.close()
+        world.until(lambda: not listener.connections)
+        assert world.engines[0].statements == ["select 1"]
+    world.run(play)
+
+
+@pytest.mark.parametrize("closing", [False, True])
+def test_a_drained_listener_answers_its_backlog_and_what_is_open_and_ends_all(monkeypatch, closing):
+    # closing the listening socket resets what it has not accepted
+    world = World("thrift", 1)
+
+    def play():
+        listener = world.node.fronts[0][1]
+        world.engines[0].act = lambda s: Act(after=0.2)
+        taken, resting = world.client(), world.client()
+        taken.send("select 1")
+        world.until(lambda: world.engines[0].began)
+        monkeypatch.setattr("standins.world.connect", lambda hub, address, until: Connection(
+            hub, socket.create_connection(address)))  # as far as the backlog: nobody accepts meanwhile
+        waiting = [world.client() for _ in range(10)]
+        for client in waiting:
+            client.send("select 2")
+        if closing:
+            world.node.owner.closed = True
+        listener.drain()
+        ended(resting)
+        assert taken.read(10).rows == ROWS
+        assert [c.read(10).kind for c in waiting] == ["refused" if closing else "served"] * 10
+        for client in (taken, resting, *waiting):
+            if client is not resting:
+                ended(client)
+            client.close()
+        world.until(lambda: not listener.connections)
+        with pytest.raises(OSError):
+            socket.create_connection(world.address)
+        if closing:
+            world.node.post(Closing())
+    world.run(play)
