A full listener ends quiet connections in order and keeps an eighth of its places for that

Cause: Listener._make_room looked whether a quiet connection had anything unread and then closed it: a request that came between the two lines was read by nobody and its client reset. It looked at the system's buffer only: whole frames that had been read, while their task gave way to others (net/hub give_way in fronts/thrift, every 8 frames), did not count, and their connection was closed over them. Change: the one that is missed least is shut for writing; its own task discards what crosses and lingers. From seven eighths of the places on each new connection ends one, so that it finds room at once; where all are full, the one that has been ending longest is cut short after 0.1 s (a request may cross for 0.05 s by the protocol). What has been read and not taken keeps its connection; half a message keeps it only while another can go.

--- a/aspenrill/net/listener.py
+++ b/aspenrill/net/listener.py
@@ -1,7 +1,10 @@
 """A listening socket: one task a connection, never more than its share of descriptors.
 
-Where its share is used up, a new connection takes the place of a quiet one: first of one that has said
-nothing yet, then of the one that has been quiet longest. What is open on a connection keeps it.
+Where its share is nearly used up, quiet connections are ended: first one that has said nothing yet, then
+the one that has been quiet longest, last one with half a message. What is open on a connection keeps it.
+They end in order, each by its own task, and hold their descriptors meanwhile: a part of the share is kept
+for these, so that a new connection finds room at once. Those that clients never close are cut short where
+it does not.
 """
 from __future__ import annotations
 
@@ -12,7 +15,7 @@
 
 from .address import family_of
 from .conn import Connection
-from .hub import READ, Closed, Hub, TimedOut
+from .hub import READ, Closed, Hub, Signal, TimedOut
 
 BACKLOG = 512
 BREATH = 0.05  # seconds until a listener that had no descriptor left tries again
@@ -20,6 +23,8 @@
 REST_FOR = 4.5  # seconds after which a quiet one goes before any fresh one: usual clients close theirs sooner
 AT_ONCE = 16  # connections accepted before others have their turn
 LINGER_FOR = 1.0  # seconds that the other side has to end a connection which we have ended
+LEAST_LINGER = 0.1  # of them, where another connection needs the place: a request may cross the end for 0.05
+ENDING_SHARE = 8  # one place in so many is for those that end: clients want a third of all, by the protocol
 
 
 class Listener:
@@ -36,6 +41,7 @@
         self.address = self.sock.getsockname()[:2]
         self.connections: dict[Connection, None] = {}
         self.open, self.draining = True, False
+        self._one_left = Signal(hub)
         hub.spawn(self._accept, name=f"{name} listener")
 
     def close(self) -> None:
@@ -81,35 +87,57 @@
             except OSError as why:
                 self.hub.log(f"{self.name}: {why.strerror}; accepting again shortly")
                 if why.errno in (errno.EMFILE, errno.ENFILE):
-                    self._make_room()
+                    self._make_room(full=True)
                 self.hub.sleep(BREATH)
                 continue
-            while self.open and len(self.connections) >= self.most and not self._make_room():
-                self.hub.sleep(BREATH)
+            if len(self.connections) >= self.most - self._ending_places():
+                self._make_room()
+            while self.open and len(self.connections) >= self.most:
+                self._wait()
+                self._make_room(full=True)
             self._take(sock)
             accepted += 1
             if accepted % AT_ONCE == 0:
                 self.hub.give_way()
 
-    def _make_room(self) -> bool:
-        """Close the connection that is missed least; False where something is open on each."""
-        now, best = time.monotonic(), None
+    def _ending_places(self) -> int:
+        return max(1, self.most // ENDING_SHARE)
+
+    def _wait(self) -> None:
+        try:
+            self._one_left.wait(BREATH)
+        except TimedOut:
+            pass
+
+    def _make_room(self, full: bool = False) -> None:
+        """End the connection that is missed least, unless enough of them end. `full`: nothing is left; the
+        one that has been ending longest is cut short, once it has had LEAST_LINGER."""
+        now, best, ending, oldest = time.monotonic(), None, 0, None
         for conn in self.connections:
-            if conn.busy or conn.spoke and conn.begun:
+            if conn.shut:
+                ending += 1
+                if oldest is None or conn.shut_at < oldest.shut_at:
+                    oldest = conn
+                continue
+            if conn.busy or len(conn.incoming) and not conn.begun:
                 continue
             age = now - conn.used
             rank = int(age <= REST_FOR) * 2 + 1 if conn.spoke else int(age <= MUTE_FOR) * 2
+            if conn.spoke and conn.begun:
+                rank = 4
             if best is None or (rank, -age) < best[0]:
                 if conn.ended() is None:
                     continue  # a message lies there
                 best = (rank, -age), conn
-        if best is None:
-            return False
-        self._forget(best[1])
-        return True
+        if full and oldest is not None and now - oldest.shut_at >= LEAST_LINGER:
+            self._forget(oldest)
+        elif best is not None and ending < self._ending_places():
+            best[1].end()
 
     def _forget(self, conn: Connection) -> None:
-        self.connections.pop(conn, None)
+        if conn in self.connections:
+            del self.connections[conn]
+            self._one_left.set()
         conn.close()
 
     def _take(self, sock: socket.socket) -> None:
