A dial that is merely slow condemns no engine: one more is tried beside it

Cause: a dial not up within connect_for ended its attempt as CONNECT_FAILED and set failed_at, by which pool.take refused everyone for 0.1 s, each of them another CONNECT_FAILED. The module counts a strike for each and ejects at the first where it may not probe or has no probe to spare (policy/outcomes._learn, policy/view._eject); the owner counts the engine as not there from three (core/owner.UNREACHED). So one packet lost on the way put a sound engine out. A dial that was cut short by its taker's own time set failed_at too, and so did one that failed while others came up. Change: dials run in tasks of their own. One that is not up when connect_for has passed stays out for 2 s at most while another is tried beside it for connect_for (two at most per take, both counted against descriptors and MOST_DIALING), unless none has come up since one last failed; the later of them lies idle then, and goes when the engine is retired. A failure while the engine was reached proves nothing (scarce: MOOT, not CONNECT_FAILED); failed_at is set only by a dial that had its whole time and no contradiction. An engine that is not there is noticed one connect_for later, once, and costs one dial per take after that.

--- a/aspenrill/engines/pool.py
+++ b/aspenrill/engines/pool.py
@@ -11,23 +11,29 @@
 
 from ..core.books import Peer
 from ..net.conn import Connection, Refused, connect
-from ..net.hub import Closed, Hub, TimedOut
+from ..net.hub import Closed, Hub, Task, TimedOut
 from ..wire import Malformed
 
 MOST_DIALING = 16  # connections to one engine that come up at a time
 SETTLE = 0.02  # seconds after an answer in which more than belongs to it may still come: others go first
+UP_LATEST = 2.0  # seconds in which a connection may still come up beside others, to lie idle
 DIAL = object()  # what a wait brings whose turn it is to dial
 AFTER_FAILURE = 0.1  # seconds without another try after one that did not come up
 
 
+class Abandoned(Exception):
+    """Nobody wants what comes up there any more."""
+
+
 @dataclass(eq=False, slots=True)
 class Turn:
-    """Who waits in a line, and for what."""
+    """Who waits, in a line or for a dial, and for what."""
 
     peer: Peer
     fresh: bool  # for a new connection only
     worker: Any = None
     wait: int = 0
+    found: Any = None  # a connection that came up while its taker was about to run
 
 
 class Pools:
@@ -41,6 +47,8 @@
         self.resting: dict[Connection, Peer] = {}  # idle ones, longest idle first
         self._sweeping = False  # a timer is set for the longest idle
         self.waiting: deque = deque()
+        self.well_at: dict[Peer, float] = {}  # when an engine was last reached, of those that take work
+        self.late: dict[Turn, Task] = {}  # dials whose taker has got another
 
     def take(self, peer: Peer, until: float, fresh: bool = False, sure: bool = True) -> Connection:
         """An idle connection that is still sound, or a new one; Refused where none comes up in time.
@@ -48,7 +56,8 @@
         Idle ones are watched, and go at the first news. `sure` looks once more: news may have come since the
         last look at all descriptors. A request that may run again goes without.
         """
-        until, waited = min(until, time.monotonic() + self.connect_for), None
+        now, waited = time.monotonic(), None
+        until, latest = min(until, now + self.connect_for), min(until, now + 2 * self.connect_for)
         while True:
             conn = None if fresh else self._rested(peer, sure)
             if conn is not None:
@@ -56,22 +65,24 @@
                     self._next(peer)  # its turn was not for this one
                 return conn
             if peer.dialing >= MOST_DIALING:
-                line, why = peer.waiting, Refused("no connection in time")
-            elif time.monotonic() < peer.failed_at + AFTER_FAILURE:
+                line = peer.waiting
+            elif self.well_at.get(peer, 0.0) <= peer.failed_at > time.monotonic() - AFTER_FAILURE:
                 self._next(peer)
                 raise Refused("none came up just now")  # more of them would only lengthen its line
             elif self.count < self.most:
-                return self._dial(peer, until)
+                return self._dial(Turn(peer, fresh), until, latest)
             elif self.resting:
                 conn = next(iter(self.resting))
                 self._tired(self.resting[conn], conn)
                 continue
             else:
-                line, why = self.waiting, Refused("no descriptor left for a connection", scarce=True)
+                line = self.waiting
             self._next(peer)  # a turn that led only to another line is for the next in its own
             got = self._wait(line, Turn(peer, fresh), until, line is waited)
+            if got is None and line is self.waiting:
+                raise Refused("no descriptor left for a connection", scarce=True)
             if got is None:
-                raise why
+                raise self._unreached(peer, now)
             waited = line
             if got is not DIAL:
                 if self._sound(got, sure):
@@ -94,27 +105,90 @@
         conn.reused = True
         return conn.open and (not sure or conn.quiet())
 
-    def _dial(self, peer: Peer, until: float) -> Connection:
-        self.count += 1
-        peer.dialing += 1
+    def _dial(self, turn: Turn, first: float, until: float) -> Connection:
+        """A new connection; Refused where none comes up in time.
+
+        One that is slow says little of an engine that others reach (a packet may be lost): once `first` has
+        passed another is tried beside it, for `connect_for` seconds. Both count while they come up, and the
+        later of them lies idle then.
+        """
+        peer, dials, conn, began = turn.peer, [], None, time.monotonic()
+        first, turn.worker = first if first > began else until, getcurrent()
         try:
-            conn = connect(self.hub, peer.address, until)
-        except BaseException as why:
-            self._left()
-            if isinstance(why, Refused) and str(why) != "ECONNREFUSED" and not (why.scarce or why.broken):
-                peer.failed_at = time.monotonic()
+            while conn is None:
+                turn.wait = self.hub.begin_wait()
+                self.count += 1
+                peer.dialing += 1
+                dials.append(self.hub.spawn(self._bring, turn, time.monotonic() + UP_LATEST, name="dial"))
+                try:
+                    conn = self.hub.park(max(0.0, first - time.monotonic()))
+                except TimedOut:
+                    conn, now = turn.found, time.monotonic()  # one that came up in this very moment
+                    if conn is None and (len(dials) > 1 or not self._another(peer, now, until)):
+                        why = self._unreached(peer, began)
+                        if now >= began + self.connect_for and not why.scarce:
+                            peer.failed_at = now
+                        raise why from None
+                    first = min(until, now + self.connect_for)
+                except Refused as why:
+                    if str(why) != "ECONNREFUSED" and not (why.scarce or why.broken):
+                        peer.failed_at = time.monotonic()
+                    raise
+            for dial in dials:
+                if not dial.dead:
+                    self.late[turn] = dial
+            return conn
+        except BaseException:
+            for dial in dials:
+                dial.interrupt(Abandoned())
             raise
+        finally:
+            turn.worker = None
+            if turn.found is not None and turn.found is not conn:
+                self.give(peer, turn.found)
+
+    def _another(self, peer: Peer, now: float, until: float) -> bool:
+        """Whether to try another beside a slow one: there is room, and the last that was known is good."""
+        return (now < until and self.count < self.most and peer.dialing < MOST_DIALING
+                and self.well_at.get(peer, 0.0) > peer.failed_at)
+
+    def _unreached(self, peer: Peer, since: float) -> Refused:
+        """None came up. That proves nothing of an engine that has been reached since."""
+        return Refused("no connection in time", scarce=self.well_at.get(peer, since) > since)
+
+    def _bring(self, turn: Turn, until: float) -> None:
+        """A task's work: bring one up for who waits, or else for whoever comes next."""
+        peer, conn = turn.peer, None
+        try:
+            found = conn = self._connect(peer, until)
+            if peer.takes_work:
+                self.well_at[peer] = time.monotonic()
+        except Refused as why:
+            found = why
+        except Abandoned:
+            return
         finally:
             peer.dialing -= 1
+            self.late.pop(turn, None)
+            if conn is None:
+                self._left()
             self._next(peer)
+        if turn.worker is not None and self.hub.wake(turn.worker, turn.wait, found) or conn is None:
+            return
+        if turn.worker is not None and turn.found is None:
+            turn.found = conn  # its taker has been woken otherwise, and not run yet
+        else:
+            self.give(peer, conn)
+
+    def _connect(self, peer: Peer, until: float) -> Connection:
+        conn = connect(self.hub, peer.address, until)
         if self.greet is not None:
             try:
                 self.greet(conn, until)
-            except (Closed, TimedOut, Malformed) as why:
-                self.drop(conn)
-                raise Refused(f"no session: {why}", broken=isinstance(why, Closed)) from None
-            except BaseException:
-                self.drop(conn)
+            except BaseException as why:
+                conn.close()
+                if isinstance(why, (Closed, TimedOut, Malformed)):
+                    raise Refused(f"no session: {why}", broken=isinstance(why, Closed)) from None
                 raise
         return conn
 
@@ -123,7 +197,7 @@
         if not peer.takes_work or not conn.open or len(conn.incoming):
             self.drop(conn)
             return
-        conn.used = time.monotonic()
+        conn.used = self.well_at[peer] = time.monotonic()
         for line in (peer.waiting, self.waiting):
             if line and self._wake(line, conn, lambda turn: turn.peer is peer and not turn.fresh):
                 return
@@ -145,6 +219,10 @@
 
     def retire(self, peer: Peer) -> None:
         """Close what lies idle: the engine takes no more work, or is another process now."""
+        self.well_at.pop(peer, None)
+        for turn, dial in list(self.late.items()):
+            if turn.peer is peer:
+                dial.interrupt(Abandoned())
         while peer.idle:
             self._tired(peer, peer.idle[-1])
 
