--- /dev/null
+++ b/tests/test_ready.py
@@ -0,0 +1,153 @@
+"""Real processes: ready without discovery, and alive with few descriptors left."""
+from __future__ import annotations
+
+import json
+import os
+import resource
+import socket
+import struct
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+from test_release import INFO
+
+from aspenrill.net.conn import Connection, Refused
+from aspenrill.net.hub import Closed, Hub, TimedOut
+from aspenrill.net.listener import Listener
+from aspenrill.wire import bulletin as wire
+from aspenrill.wire import thrift
+from standins.scene import play
+from standins.world import Act, HttpEngine, ThriftClient
+
+WITHIN = 60.0  # seconds of a machine that is busy; all holds much sooner
+TICKS = os.sysconf("SC_CLK_TCK")
+CPU = 5.0  # seconds of a core until ready: half of the ten in which nine of ten have to be
+
+
+class Program:
+    """A front end as a process of its own, and the places that it knows."""
+
+    def __init__(self, folder: Path) -> None:
+        self.hub, self.folder = Hub(lambda text: None), folder
+        self.discovery, self.held = socket.socket(), socket.socket()
+        for sock in (self.discovery, self.held):  # bound and not listening: they refuse, and hold their ports
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.bind(("127.0.0.1", 0))
+        self.address = self.held.getsockname()
+        self.process: Any = None
+
+    def start(self, hosts: list[tuple[str, int]], sockets: int) -> None:
+        """With a list that it knows, and so many descriptors."""
+        path = self.folder / "node.json"
+        known = [{"host": host, "dial": f"127.0.0.1:{port}", "site": "z", "class": "k", "block": 0,
+                  "health": "in_service", "share": 4, "born_ms": 0} for host, port in hosts]
+        path.write_text(json.dumps({
+            "name": "n", "listen": "{}:{}".format(*self.address), "seed": "1", "limits": {"sockets": sockets},
+            "bulletin": "{}:{}".format(*self.discovery.getsockname()),
+            "known": {"no": 1, "items": [{"no": 1, "roster": {"seq": 1, "whole": True, "hosts": known}}]},
+            "settings": INFO | {"me": 0, "group_size": 1}}))
+        with open(self.folder / "log", "wb") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "aspenrill"], env=os.environ | {"NODE_CONFIG": str(path)}, stderr=log,
+                preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, sockets)))
+
+    def log(self) -> str:
+        return (self.folder / "log").read_text()
+
+    def cpu(self) -> float:
+        """Seconds of a core that it has used."""
+        fields = Path(f"/proc/{self.process.pid}/stat").read_text().rsplit(")", 1)[1].split()
+        return (int(fields[11]) + int(fields[12])) / TICKS
+
+    def client(self) -> ThriftClient:
+        return ThriftClient(SimpleNamespace(hub=self.hub, address=self.address), "lookup", 5.0)
+
+    def well(self) -> ThriftClient | None:
+        """A client whose question `isWell` was answered with yes."""
+        try:
+            client = self.client()
+            client.seqid = 1
+            client.conn.write(thrift.frame(thrift.CALL, "isWell", 1, thrift.field(2, 1, b"\0")),
+                              time.monotonic() + 5)
+            size = int.from_bytes(client.conn.read(4, time.monotonic() + 5), "big")
+            told = thrift.read_message(client.conn.read(size, time.monotonic() + 5)).args
+            return client if told[0][3] is True else None
+        except (Refused, Closed, TimedOut):
+            return None
+
+    def until(self, true: Callable[[], Any]) -> Any:
+        end = time.monotonic() + WITHIN
+        while not (found := true()):
+            assert time.monotonic() < end and self.process.poll() is None, self.log()[-2000:]
+            self.hub.sleep(0.05)
+        return found
+
+
+@pytest.fixture
+def program(tmp_path: Path) -> Iterator[Program]:
+    made = Program(tmp_path)
+    yield made
+    if made.process is not None:
+        made.process.kill()
+        made.process.wait()
+    made.discovery.close()
+    made.held.close()
+
+
+@pytest.mark.parametrize("answers", [False, True], ids=["refuses", "is mute"])
+def test_ready_with_a_list_of_1100_while_discovery_is_down(program, answers):
+    # nothing at the start may wait for discovery, for names or for an engine: none of these is to be had
+    if answers:
+        program.discovery.listen(5)
+    program.start([(f"s-{number:08x}", program.discovery.getsockname()[1]) for number in range(1100)], 256)
+
+    def scene() -> None:
+        program.until(program.well).close()
+
+    play(program.hub, scene)
+    used = program.cpu()
+    assert used < CPU, used
+    assert "error" not in program.log()
+
+
+@pytest.mark.parametrize("sockets", [32, 48])
+def test_idle_clients_and_busy_engines_leave_the_watch_its_descriptor(program, sockets):
+    hub, greetings, running, address = program.hub, [], [], program.discovery.getsockname()
+    engines = [HttpEngine(hub, f"s-{number:08x}") for number in range(4)]
+    for engine in engines:
+        engine.act = lambda statement: Act(after=0.02 if statement == "quick" else 2.0)
+    program.start([(engine.name, engine.listener.address[1]) for engine in engines], sockets)
+
+    def serve(conn: Connection) -> None:
+        greetings.append(struct.unpack(">Q", conn.read(8, time.monotonic() + WITHIN))[0])
+        while True:
+            conn.write(wire.HEAD.pack(9, 1, wire.NOTHING), time.monotonic() + 5)
+            hub.sleep(1.0)
+
+    def scene() -> None:
+        idle = [program.until(program.well) for _ in range(sockets // 3)]
+        for _ in range(sockets):  # more than it may hold, and these say nothing
+            idle.append(program.client())
+        busy = program.until(program.well)
+        for _ in range(30):
+            busy.send("slow")
+        program.until(lambda: len(os.listdir(f"/proc/{program.process.pid}/fd")) == sockets)  # none is left
+        dials = program.log().count("bulletin: Refused")
+        program.until(lambda: program.log().count("bulletin: Refused") > dials + 1)
+        back = Listener(hub, address, serve, 10, "discovery")
+        program.until(lambda: greetings)
+        running.append(sum(engine.running for engine in engines))
+        fresh = program.until(program.well)
+        assert fresh.ask("quick", WITHIN, timeout="30000").kind == "served"
+        for listener in [back, *(engine.listener for engine in engines)]:
+            listener.close()
+
+    play(hub, scene)
+    assert running[0] > sockets // 4  # so it got in although nothing was let go for it
+    assert "bulletin: Refused [" not in program.log() and "error" not in program.log()
