Graceful shutdown by the settings' own deadlines; what comes later is refused at once

Cause: node.leave took requests for 1 s and flushed for 0.25 s whatever the settings say: with a longest deadline under 0.57 s it was still there at the earliest SIGKILL (deadline + 0.7 s, protocol, Figures), and the process ended over open connections, so that a request on a resting one was reset. Change: requests are taken for 0.65 s (they come for 0.6 s), then refused at once and not sent on; listeners are drained, all has its answer 0.3 s and the process ends 0.1 s before the kill at the latest.

--- a/aspenrill/core/owner.py
+++ b/aspenrill/core/owner.py
@@ -54,8 +54,8 @@
         self.open: dict[str, Call] = {}
         self.peers: dict[str, Peer] = {}
         self.listed = False
-        self.well = True
-        self.closed = False  # about to end: what still comes is turned away
+        self.well = self.taking = True
+        self.closed = False  # about to end: nothing is open any more
         self.faults = 0
         self.most_engines = MOST_ENGINES  # that a list may name: memory is bounded
         self.tell: Callable[[bytes], None] = lambda data: None  # to all other front ends
@@ -87,7 +87,7 @@
         call = asked.call
         if not call.open:
             return
-        if self.closed:
+        if self.closed or not self.taking:
             call.open = False
             call.reply(call, Refused())
             return
--- a/aspenrill/node.py
+++ b/aspenrill/node.py
@@ -30,9 +30,9 @@
 
 CLIENT_SHARE, ENGINE_SHARE = 0.4, 0.5  # of the descriptors; the rest is for listeners, files and probes
 IDLE_MARGIN, LEAST_IDLE = 2.0, 1.0  # seconds by which a pooled connection is closed before the engine would
-STILL_TAKING = 1.0  # seconds after SIGTERM in which requests are taken, and a margin
-LONGEST_LEAVE, LEAVE_MARGIN = 3.0, 0.35  # SIGKILL comes 0.7 s after the longest deadline, or 3 s: before it
-FLUSH_FOR = 0.25
+TAKING = 0.65  # seconds after SIGTERM in which requests are taken: they come for up to 0.6 s (protocol, Figures)
+KILL_AFTER, LONGEST = 0.7, 3.0  # SIGKILL comes no sooner than this behind the longest deadline, LONGEST at most
+ANSWERED, ENDED = 0.3, 0.1  # seconds before SIGKILL by which all has its answer, and by which the process ends
 BASE_MB, ENGINE_KB = 26, 5  # memory without engines, and of one with its part of the list's text
 LEAST_LIST = 2048  # engines that are taken at any limit: 26 MB in all
 DEPLOY = Path(__file__).resolve().parent.parent / "deploy"
@@ -175,26 +175,30 @@
             self.hub.log("configuration read again")
 
     def leave(self) -> None:
-        """After SIGTERM: take what still comes, answer everything, end."""
+        """After SIGTERM, a graceful shutdown: take what still comes, then refuse it; answer everything, drain
+        the connections, end before SIGKILL."""
         began = time.monotonic()
         self.owner.well = False
         self.hub.log("leaving")
-        longest = max(c.patience for c in self.settings.classes)
-        latest = began + min(longest, LONGEST_LEAVE) + LEAVE_MARGIN
-        while time.monotonic() < began + STILL_TAKING or self.owner.open and time.monotonic() < latest:
-            self.hub.sleep(0.02)
+        kill_at = began + min(max(c.patience for c in self.settings.classes), LONGEST) + KILL_AFTER
+        self.hub.sleep(TAKING)
+        self.owner.taking = False
         for _, listener in self.fronts:
-            listener.close()
+            listener.drain()
+        self._drained(kill_at - ANSWERED)
         self.post(Closing())
-        until = time.monotonic() + FLUSH_FOR
-        self.hub.sleep(0.02)
-        while (any(s.writing for s, _ in self.fronts) or self.owner.queue.items) and time.monotonic() < until:
-            self.hub.sleep(0.01)
+        self._drained(kill_at - ENDED)
         self.goodbye()
         self.hub.log(f"left with {len(self.owner.open)} requests open")
         self.hub.stop()
 
 
+    def _drained(self, until: float) -> None:
+        """Wait until no client has a connection any more, or that moment of the monotonic clock."""
+        while any(listener.connections for _, listener in self.fronts) and time.monotonic() < until:
+            self.hub.sleep(0.01)
+
+
 def platform(hub: Hub, env: Mapping[str, str], tds_file: Path = TDS_FILE,
              sources_file: Path = SOURCES_FILE, fleet_file: Path = FLEET_FILE) -> Node:
     """A node of the platform: Thrift before it, HTTP engines behind it; TDS too, further sources of engines,
