A client's end or `forget` behind a backlog of bytes is seen before more is taken from it

Cause: fronts/thrift took frame after frame of a flood and met the end of stream, or a `forget`, only behind them (Session.run and _frame): of 60 requests whose client closed at once behind them, 32 to 60 were sent on, and of 31 with `forget` for 15 behind them, all 31. core/owner took a request from its queue whose client had gone meanwhile (_on_asked), and started an attempt, with a connection of its own, for one whose `Left` lay behind the event that let it go (_send). Change: before frames are taken from a backlog, once for each read and after each turn of 8, the session looks through what has been read for `forget`, and, where the system may hold more or the program is over 20 ms behind, asks it for the other side's end (POLLRDHUP). On an end all that is open is flagged and left. _on_asked drops what its client left; _send answers MOOT for it at once, after `kept.sent`, whose books `kept.ended` settles. Ruled out: dialling and waiting for a connection (engines.cancel interrupts engines/pool; the last look in engines/base sees the flag), a request held or between two tries once `Left` is taken (_close). Their tests pin it.

--- a/aspenrill/core/owner.py
+++ b/aspenrill/core/owner.py
@@ -85,6 +85,9 @@
         call = asked.call
         if not call.open:
             return
+        if call.gone:  # its `Left` is on the way
+            call.open = False
+            return
         if self.closed:
             call.open = False
             call.reply(call, Refused())
@@ -285,9 +288,12 @@
         if begin_within > 0:
             attempt.begin_by = now + begin_within
         call.sends += 1
-        call.attempt = attempt
         if self.kept is not None:
             self.kept.sent(call, self.kept.clock())
+        if call.gone:  # nothing begins for it any more, not even a connection; its `Left` is on the way
+            self.queue.put(books.Ended(attempt, api.Outcome.MOOT))
+            return
+        call.attempt = attempt
         self.engines.start(attempt)
 
     def _final(self, call: Call | None, final: Final) -> None:
--- a/aspenrill/fronts/thrift.py
+++ b/aspenrill/fronts/thrift.py
@@ -24,6 +24,8 @@
 WRITE_FOR = 10.0  # seconds for the writing of one answer
 MARGIN = 0.1  # seconds of a client's time kept back for the way of the answer; being behind comes on top
 TURN = 8  # messages of one client taken at a time, if so many lie there
+BEHIND = 0.02  # seconds that what is ready may wait, so that the 4 turns of 32 messages stay under 0.1
+FORGET = b"\x80\1\0\4\0\0\0\x06forget"  # how such a message begins
 HEX, PRINTABLE = b"0123456789abcdefABCDEF", re.compile(rb"[!-~]+")
 
 
@@ -59,6 +61,8 @@
         self.bad = 0  # messages that could not be used
         self.last = 0  # sequence number of the last call: they start at 1 and count up
         self.written: Signal | None = None  # the end waits for the writer
+        self.unseen = False  # something was read that nobody has looked through
+        self.forgotten: set[int] = set()  # numbers of calls behind which a `forget` lies that has been read
 
     def run(self) -> None:
         """Read until the client closes, or is to be read no more; what was taken gets its answer before the
@@ -81,10 +85,46 @@
                 raise Closed("answers are not read")
             taken = taken + 1 if len(conn.incoming) else 0
             if taken >= TURN:
-                taken = 0
+                taken, self.unseen = 0, True
                 self.service.hub.give_way()  # one client's flood is not to starve the others
+            if self.unseen and len(conn.incoming):
+                self._look_ahead()
             self._frame(None)
 
+    def _look_ahead(self) -> None:
+        """Before messages are taken behind others: whether their client still waits. Its end, or a `forget`,
+        may lie behind much else, and nothing may begin later than 0.1 s after it. The system is asked where
+        it may hold more, or where the turns of 32 messages may take that long."""
+        self.unseen, conn = False, self.conn
+        if (not conn.dry or self.service.hub.lag() > BEHIND) and conn.hung_up():
+            self._left()
+            raise Closed("the client has gone")
+        inbox = conn.incoming
+        if inbox.find(FORGET) < 0:
+            return
+        data, at = inbox.peek(len(inbox)), 0
+        while at + 4 <= len(data):
+            start, at = at + 4, at + 4 + int.from_bytes(data[at:at + 4], "big")
+            if start < at <= len(data) and data.startswith(FORGET, start):
+                try:
+                    self._forget((thrift.read_message(data[start:at]).args or {}).get(1), ahead=True)
+                except Malformed:
+                    return  # taken as such in its turn
+
+    def _forget(self, number: Any, ahead: bool = False) -> None:
+        """A call that its client gives up: it may be none that is open, and one whose frame lies `ahead`."""
+        if not isinstance(number, int):
+            return
+        call = self.open.pop(number, None)
+        if call is not None:
+            self.conn.busy -= 1
+            call.gone = True
+            self.service.post(Left(call))
+        elif ahead and number > self.last:
+            self.forgotten.add(number)
+        else:
+            self.forgotten.discard(number)
+
     def _see_out(self) -> None:
         """Take nothing more. What comes is discarded until all owed is written, or the client ends."""
         conn, hub = self.conn, self.service.hub
@@ -118,9 +158,12 @@
             if conn.draining:
                 conn.end_if_quiet()
             conn.fill(until)
+            self.unseen = True
         conn.begun = True
         data, start, end = conn.frame(MOST_FRAME, time.monotonic() + WHOLE_FOR, FRAME_FOR)
         conn.begun = False
+        if not start:
+            self.unseen = True  # it did not come whole: more was read with its rest
         conn.used = arrived = time.monotonic()
         usual = thrift.read_serve(data, start, end)
         if usual is not None and usual[0] == self.last + 1 and len(self.open) < MOST_OPEN:
@@ -148,12 +191,7 @@
     def _take(self, message: thrift.Message, arrived: float) -> None:
         name, seqid, args = message.name, message.seqid, message.args
         if message.kind == thrift.ONEWAY and name == "forget":
-            wanted = (args or {}).get(1)
-            call = self.open.pop(wanted, None) if isinstance(wanted, int) else None
-            if call is not None:
-                self.conn.busy -= 1
-                call.gone = True
-                self.service.post(Left(call))
+            self._forget((args or {}).get(1))
         elif message.kind != thrift.CALL:
             self.bad += 1
             if message.kind != thrift.ONEWAY:
@@ -184,6 +222,8 @@
             self._serve(seqid, texts, args.get(2), arrived)
 
     def _serve(self, seqid: int, fields: dict[bytes, bytes] | None, statement: Any, arrived: float) -> None:
+        if seqid in self.forgotten:
+            return
         try:
             call = self._call(seqid, fields, statement, arrived)
         except ValueError as why:
--- /dev/null
+++ b/tests/test_client_gone.py
@@ -0,0 +1,213 @@
+"""A client that has gone, or has given a request up: nothing begins for it any more, wherever it stands."""
+from __future__ import annotations
+
+import socket
+import struct
+import time
+from dataclasses import replace
+
+import pytest
+
+from aspenrill import api
+from aspenrill.core import books
+from aspenrill.wire import thrift
+from standins.world import ROWS, SETTINGS, Act, World
+
+ROOMY = replace(SETTINGS, cores_by_kind=(64,))
+PROTOCOLS = pytest.mark.parametrize("protocol", ["thrift", "tds"])
+
+
+def forget(number: int) -> bytes:
+    return thrift.frame(thrift.ONEWAY, "forget", 0, thrift.field(thrift.I32, 1, struct.pack(">i", number)))
+
+
+def bytes_of(client, what) -> bytes:
+    """What the client would write."""
+    parts, write = [], client.conn.write
+    client.conn.write = lambda data, until: parts.append(data)
+    what()
+    client.conn.write = write
+    return b"".join(parts)
+
+
+def hold(world: World, kind: type, until) -> None:
+    """The owner comes to events of this kind only once something is true: as where it is behind."""
+    take = world.node.owner.take
+
+    def late(event) -> None:
+        if isinstance(event, kind):
+            world.until(lambda: until(event))
+        take(event)
+    world.node.owner.take = late
+
+
+def started(world: World) -> list:
+    """The attempts that the owner starts from now on."""
+    starts, start = [], world.node.owner.engines.start
+    world.node.owner.engines.start = lambda attempt: (starts.append(attempt), start(attempt))
+    return starts
+
+
+def resets(sock: socket.socket) -> None:
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
+@pytest.mark.parametrize("goes", [socket.socket.close, lambda s: s.shutdown(socket.SHUT_WR), resets],
+                         ids=["closes", "half-closes", "resets"])
+@pytest.mark.parametrize("size, lag", [(600, 0.0), (1, 0.05)], ids=["flood", "behind"])
+def test_an_end_behind_requests_that_lie_there_is_seen_before_they_are_sent_on(goes, size, lag):
+    world = World("thrift", 1, ROOMY)
+
+    def play():
+        client, listener = world.client(), world.node.fronts[0][1]
+        assert client.ask("select 0").rows == ROWS
+        count = 60 if size > 1 else 5  # 5 short ones are read at once, with nothing unread behind them
+        data = bytes_of(client, lambda: [client.send("select 1" + " " * size) for _ in range(count)])
+        world.hub.lag = lambda: lag
+        client.conn.sock.setblocking(True)
+        client.conn.sock.sendall(data)
+        goes(client.conn.sock)  # both before the front end reads
+        world.until(lambda: not listener.connections)
+        world.until(lambda: not world.node.owner.open)
+        assert world.engines[0].statements == ["select 0"]
+    world.run(play)
+
+
+def test_calls_given_up_behind_many_others_that_lie_there_are_not_sent_on():
+    world = World("thrift", 1, ROOMY)
+
+    def play():
+        client = world.client()
+        data = bytes_of(client, lambda: [client.send(f"select {at}") for at in range(1, 32)])
+        client.conn.write(data + b"".join(map(forget, range(17, 32))), time.monotonic() + 5)
+        assert [client.read(10).kind for _ in range(16)] == ["served"] * 16
+        client.send("select 32")
+        assert client.read(10).kind == "served"
+        assert world.engines[0].statements == [f"select {at}" for at in (*range(1, 17), 32)]
+    world.run(play)
+
+
+@PROTOCOLS
+@pytest.mark.parametrize("how", ["closes", "gives up"])
+def test_a_request_that_its_client_left_in_the_queue_does_not_reach_the_module(protocol, how):
+    world = World(protocol, 1)
+
+    def play():
+        client, seen, calls, handle = world.client(), [], [], world.node.owner.gateway.handle
+        world.node.owner.gateway.handle = lambda now, event: (seen.append(event), handle(now, event))[1]
+        hold(world, books.Asked, lambda asked: calls.append(asked.call) or asked.call.gone)
+        client.send("select 1")
+        client.close() if how == "closes" else (
+            client.cancel() if protocol == "tds" else client.conn.write(forget(1), time.monotonic() + 5))
+        queue = world.node.owner.queue.items
+        world.until(lambda: calls and calls[0].gone and not queue)
+        assert not [event for event in seen if isinstance(event, api.Request)]
+        assert not world.engines[0].began and not world.node.owner.open
+    world.run(play)
+
+
+@PROTOCOLS
+def test_a_client_that_goes_while_a_connection_is_found_is_seen_at_the_last_look(protocol):
+    # the owner has not come to its `Left` yet
+    world = World(protocol, 1)
+
+    def play():
+        client, take, begun = world.client(), world.node.pools.take, []
+
+        def slow(*args, **more):
+            found = take(*args, **more)
+            client.close()
+            [call] = world.node.owner.open.values()
+            world.until(lambda: call.gone)
+            begun.append(call)
+            return found
+        world.node.pools.take = slow
+        hold(world, books.Left, lambda left: begun)
+        client.send("select 1")
+        world.until(lambda: begun and not world.node.owner.open)
+        assert not world.engines[0].began
+    world.run(play)
+
+
+@PROTOCOLS
+def test_a_client_that_goes_between_two_tries_gets_no_second(protocol):
+    world = World(protocol, 2)
+
+    def play():
+        client, starts = world.client(), started(world)
+        for engine in world.engines:
+            engine.act = lambda statement: Act(end="full")
+
+        def gone(end) -> bool:
+            client.close()
+            return end.attempt.call.gone
+        hold(world, books.Ended, gone)
+        client.send("select 1")
+        world.until(lambda: starts and not world.node.owner.open)
+        assert len(starts) == 1 and sum(len(engine.began) for engine in world.engines) == 1
+    world.run(play)
+
+
+@PROTOCOLS
+def test_a_client_that_goes_while_a_connection_comes_up_ends_that(protocol):
+    world = World(protocol, 1)
+
+    def play():
+        with socket.socket() as full:  # its backlog is full: whoever calls waits
+            full.bind(("127.0.0.1", 0))
+            full.listen(0)
+            callers = [socket.socket() for _ in range(4)]
+            for caller in callers:
+                caller.setblocking(False)
+                caller.connect_ex(full.getsockname())
+            world.node.pools.connect_for = 60.0
+            world.tell([replace(world.member(world.engines[0]), address=full.getsockname())])
+            client, peers = world.client(), world.node.owner.peers
+            client.send("select 1")
+            world.until(lambda: any(peer.dialing for peer in peers.values()))
+            client.close()
+            world.until(lambda: not world.node.owner.open)
+            world.until(lambda: not any(peer.dialing for peer in peers.values()))
+            assert not world.engines[0].began
+            for caller in callers:
+                caller.close()
+    world.run(play)
+
+
+@PROTOCOLS
+def test_a_held_request_whose_client_goes_is_never_sent_on(protocol):
+    # the owner comes to the end that makes room for it before it comes to its `Left`
+    world = World(protocol, 1, replace(SETTINGS, cores_by_kind=(1,)))
+
+    def play():
+        owner, held, clients = world.node.owner, world.node.owner.gateway.held, []
+        for _ in range(4):
+            assert world.client().ask("select 1").rows == ROWS  # a class known as quick may wait for room
+        world.engines[0].act = lambda statement: Act(after=0.3)
+        while not held and len(clients) < 40:
+            clients.append(world.client())
+            clients[-1].send(f"select {len(clients)}")
+            world.until(lambda: len(owner.open) == len(clients))
+        [call], starts = [owner.open[ident] for ident in held], started(world)
+        hold(world, books.Ended, lambda end: clients[-1].close() or call.gone or not call.open)
+        for client in clients[:-1]:
+            assert client.read(20).rows == ROWS
+        world.until(lambda: not owner.open)
+        assert call.gone and call not in [attempt.call for attempt in starts]
+    world.run(play)
+
+
+def test_an_answer_that_is_ready_as_its_client_goes_leaves_nothing():
+    world = World("thrift", 1)
+
+    def play():
+        client, listener = world.client(), world.node.fronts[0][1]
+        hold(world, books.Ended, lambda end: client.close() or end.attempt.call.gone
+             or end.attempt.call.statement != b"select 1")
+        client.send("select 1")
+        world.until(lambda: world.engines[0].ended and not listener.connections)
+        world.until(lambda: not world.node.owner.open)
+        assert world.node.fronts[0][0].writing == 0
+        assert world.client().ask("select 2").rows == ROWS
+    world.run(play)
