An answer in the round of a bad client's end is written, and waits for a signal leave nothing

Cause: Session._see_out wrote what was fresh before its loop only; an answer given in the very turn in which that loop read the client's end stayed in `fresh` and went with the close. net/hub Signal.wait kept its entry when its time ran out: a full listener waits for one every 50 ms, so that the list grew for as long as none left. Change: what is fresh is written behind the loop; a wait that nothing ended takes its entry back.

--- a/aspenrill/fronts/thrift.py
+++ b/aspenrill/fronts/thrift.py
@@ -128,8 +128,6 @@
     def _see_out(self) -> None:
         """Take nothing more. What comes is discarded until all owed is written, or the client ends."""
         conn, hub = self.conn, self.service.hub
-        if self.fresh:
-            self._flush()  # what has been answered goes out before the end
         conn.draining, conn.begun = True, False  # its last answer ends it, if nothing lies unread
         try:
             while conn.busy and not conn.over:
@@ -140,6 +138,8 @@
             pass
         conn.incoming.clear()
         self._left()
+        if self.fresh:
+            self._flush()  # what has been answered goes out before the end, also in the round of the client's
         while self.busy and conn.open:
             self.written = Signal(hub)
             self.written.wait(None)  # the writer's own time is bounded
--- a/aspenrill/net/hub.py
+++ b/aspenrill/net/hub.py
@@ -337,8 +337,13 @@
 
     def wait(self, timeout: float | None) -> None:
         """Until the next `set`; TimedOut if it does not come in time."""
-        self._waiters.append((getcurrent(), self.hub.begin_wait()))
-        self.hub.park(timeout)
+        mine = getcurrent(), self.hub.begin_wait()
+        self._waiters.append(mine)
+        try:
+            self.hub.park(timeout)
+        finally:
+            if mine in self._waiters:  # nothing set it
+                self._waiters.remove(mine)
 
     def set(self) -> None:
         """Wake them."""
--- a/tests/test_lingering.py
+++ b/tests/test_lingering.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-from aspenrill.core.books import Closing
+from aspenrill.core.books import Closing, Failed
 from aspenrill.net.conn import Connection
-from aspenrill.net.hub import READ, Closed
+from aspenrill.net.hub import READ, Closed, Signal, TimedOut
 from aspenrill.wire import tds, thrift
 from standins.world import ROWS, SETTINGS, Act, World
 
@@ -175,6 +175,48 @@
     world.run(play)
 
 
+def test_an_answer_in_the_round_of_the_end_of_a_bad_client_is_written():
+    world = World("thrift", 1)
+
+    def play():
+        owner, client = world.node.owner, world.client()
+        world.engines[0].act = lambda s: Act(after=5)
+        client.send("select 1")
+        world.until(lambda: world.engines[0].began)
+        [conn] = world.node.fronts[0][1].connections
+        client.conn.write(BAD["thrift"], time.monotonic() + 5)
+        world.until(lambda: conn.draining)
+        fill, entered = conn.fill, []
+
+        def crossed(until) -> None:
+            entered.append(until)
+            try:
+                fill(until)
+            except Closed:
+                [call] = owner.open.values()
+                owner._final(call, Failed("crossed"))
+                raise
+        conn.fill = crossed
+        client.conn.write(b"x", time.monotonic() + 5)  # it reads on, by the new way
+        world.until(lambda: entered)
+        client.conn.sock.shutdown(socket.SHUT_WR)
+        assert client.read(10).kind == "failed"
+        ended(client)
+    world.run(play)
+
+
+def test_waits_for_a_signal_that_is_not_set_leave_nothing():
+    world = World("thrift", 1)
+
+    def play():
+        signal = Signal(world.hub)
+        for _ in range(5):
+            with pytest.raises(TimedOut):
+                signal.wait(0.001)
+        assert not signal._waiters
+    world.run(play)
+
+
 def test_a_crowd_that_never_closes_shuts_nobody_out():
     world = World("thrift", 1)
 
