A bad client whose requests are taken no more can still give up what is open

Cause: after a message that cannot be read, 16 unusable ones, or answers not read, fronts/thrift discarded all bytes until its open requests had their answers (_see_out), and a `forget` with them: attempts might have begun for a request long given up. Change: while its frames are sound, the session reads on, takes `forget` alone and ends with the last answer; only behind a frame that is none (its length, its pause) bytes are discarded.

--- a/aspenrill/fronts/thrift.py
+++ b/aspenrill/fronts/thrift.py
@@ -59,6 +59,7 @@
         self.answers: deque[bytes] = deque()  # those that the client does not take at once
         self.busy = False
         self.bad = 0  # messages that could not be used
+        self.deaf = False  # nothing more is taken, but for what gives a request up
         self.last = 0  # sequence number of the last call: they start at 1 and count up
         self.written: Signal | None = None  # the end waits for the writer
         self.unseen = False  # something was read that nobody has looked through
@@ -80,9 +81,11 @@
         self._frame(time.monotonic() + FIRST_FOR)
         conn.spoke = True
         taken = 0
-        while self.bad < MOST_BAD:
-            if len(self.answers) > MOST_OPEN:
-                raise Closed("answers are not read")
+        while True:
+            if self.deaf or self.bad >= MOST_BAD or len(self.answers) > MOST_OPEN:
+                self.deaf = conn.draining = True  # its last answer ends it
+                if not conn.busy:
+                    return
             taken = taken + 1 if len(conn.incoming) else 0
             if taken >= TURN:
                 taken, self.unseen = 0, True
@@ -165,6 +168,8 @@
         if not start:
             self.unseen = True  # it did not come whole: more was read with its rest
         conn.used = arrived = time.monotonic()
+        if self.deaf and not data.startswith(FORGET, start):
+            return
         usual = thrift.read_serve(data, start, end)
         if usual is not None and usual[0] == self.last + 1 and len(self.open) < MOST_OPEN:
             self.last = usual[0]
@@ -175,8 +180,9 @@
             return
         try:
             message = thrift.read_message(data[start:end])
-        except Malformed as why:
-            raise Closed(str(why)) from None
+        except Malformed:
+            self.deaf = True  # its frames are sound so far: a `forget` among them still counts
+            return
         self._take(message, arrived)
 
     def _behind(self, fields: dict[bytes, bytes]) -> bool:
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -88,6 +88,26 @@
     world.run(play)
 
 
+@pytest.mark.parametrize("bad", [b"\0\0\0\4GET ", b"".join(
+    thrift.frame(thrift.CALL, "nobody", at, b"") for at in range(2, 18))], ids=["malformed", "unusable"])
+def test_a_client_whose_requests_are_taken_no_more_can_give_up_what_is_open(bad):
+    world = World("thrift", 1)
+
+    def play():
+        world.engines[0].act = lambda statement: Act(after=5)
+        client = world.client()
+        client.send("select 1")
+        world.until(lambda: world.engines[0].began)
+        again = bytes_of(client, lambda: client.send("select 2"))
+        [conn], [call] = world.node.fronts[0][1].connections, world.node.owner.open.values()
+        client.conn.write(bad, time.monotonic() + 5)
+        world.until(lambda: conn.draining)
+        client.conn.write(again + forget(1), time.monotonic() + 5)
+        world.until(lambda: not call.open)
+        assert call.gone and world.engines[0].statements == ["select 1"]
+    world.run(play)
+
+
 @PROTOCOLS
 @pytest.mark.parametrize("how", ["closes", "gives up"])
 def test_a_request_that_its_client_left_in_the_queue_does_not_reach_the_module(protocol, how):
