Tests: a draining connection ends behind its last answer, in Thrift and TDS

Cause: drain was tested in Thrift only, and of what is open only beside a full backlog. Change: one test of both fronts; a resting connection lingers and counts, one that is owed an answer ends behind it.

--- a/tests/test_lingering.py
+++ b/tests/test_lingering.py
@@ -244,3 +244,25 @@
                           time.monotonic() + 5)
         assert [client.read(10).kind for _ in range(8)] == ["broken"] * 8
     world.run(play)
+
+
+@pytest.mark.parametrize("protocol", ["thrift", "tds"])
+def test_a_draining_connection_ends_behind_its_last_answer(protocol):
+    world = World(protocol, 1)
+
+    def play():
+        listener = world.node.fronts[0][1]
+        taken, resting = world.client(), world.client()
+        assert resting.ask("select 0").rows == ROWS
+        world.engines[0].act = lambda s: Act(after=0.2)
+        taken.send("select 1")
+        world.until(lambda: len(world.engines[0].began) == 2)
+        listener.drain()
+        ended(resting)
+        assert len(listener.connections) == 2  # the one lingers, the other is owed an answer
+        assert taken.read(10).rows == ROWS
+        ended(taken)
+        taken.close()
+        resting.close()
+        world.until(lambda: not listener.connections)
+    world.run(play)
