An attempt's end proves no more than its engine has said, and is told at the deadline

Cause: (1) engines/base._run told an end only after the DELETE, up to 2.6 s late; an open request whose time ran out meanwhile was failed by the owner as one without an answer. (2) _begin waited for a connection beyond begin_by, and a dial cut short by it counted against the engine. (3) engines/http._carry took any status but 200 and 202 for the query's end and told it without a DELETE: a 204 or 404 that belongs to another call, a 503 or 504 without X-Shed, so that another attempt could follow while the query ran. (4) 503 or 504 with X-Shed after a note of progress or of spills counted as never ran. (5) engines/tds took error 10928 for that also behind a DONE, whose statement has run. Ruled out: CONNECT_FAILED and MOOT after a byte (Connection.written is counted where the system takes bytes, and _begin ends without Over once it has grown: partial writes, a reset between the last look and the write, taken and reset unread, read and reset); a 500 for an unknown query (ERROR); an end told early to a request that could go on (TimedOut is raised past attempt.until only). Change: at its deadline an open request's end is told as TIMEOUT while the giving up goes on; connections are waited for until begin_by at most, and MOOT follows; statuses that do not answer the call asked are asked again like spoilt answers; unmarked 503 and 504 and a shed after progress are given up before their end is told; a TDS error proves only as the first token.

--- a/aspenrill/engines/base.py
+++ b/aspenrill/engines/base.py
@@ -66,25 +66,36 @@
             self._carry(attempt)
         except Over as over:
             end = Ended(attempt, over.outcome, **over.more)
-            if over.outcome in (Outcome.RESET, Outcome.ERROR):
-                self._give_up(attempt)
         except Cancelled:
-            self._give_up(attempt)
             end = Ended(attempt, Outcome.CANCELLED)
         except TimedOut:
             end = Ended(attempt, Outcome.TIMEOUT)
-            if attempt.until >= attempt.call.deadline:  # no other can follow: the client hears of it first
-                self.post(end)
-                end = None
-            self._give_up(attempt)
         finally:
-            if end is not None:
+            if end.outcome is Outcome.OK:
                 self.post(end)
+            else:
+                self._give_up(attempt, end)
 
-    def _give_up(self, attempt: Attempt) -> None:
+    def _give_up(self, attempt: Attempt, end: Ended) -> None:
+        """Tell the end once the engine works on it no more, but of an open request at its deadline: no other
+        attempt can follow then, and its client has waited long enough."""
         attempt.cancelled, attempt.task.pending = True, None  # nothing interrupts this
-        if attempt.asked is not None:
+        if attempt.asked is None:
+            self.post(end)
+            return
+        told: list[Ended] = []
+
+        def tell(how: Ended) -> None:
+            if not told and (how is end or attempt.call.open):
+                told.append(how)
+                self.post(how)
+
+        timer = self.hub.timers.at(attempt.call.deadline, tell, Ended(attempt, Outcome.TIMEOUT))
+        try:
             self._stop(attempt)
+        finally:
+            timer.cancel()
+            tell(end)
 
     def _begin(self, attempt: Attempt, request: Callable[[], list[bytes]]) -> Connection | None:
         """A connection on which the request has been written, None where it broke on the way.
@@ -94,12 +105,14 @@
         broken = 0
         while True:
             try:
-                conn = self.pools.take(attempt.peer, attempt.until, sure=attempt.call.cls not in self.safe)
+                conn = self.pools.take(attempt.peer, min(attempt.until, attempt.begin_by),
+                                       sure=attempt.call.cls not in self.safe)
             except Refused as why:
                 broken += why.broken
                 if why.broken and broken < AFRESH:
                     continue
-                raise Over(Outcome.MOOT if why.scarce else Outcome.CONNECT_FAILED) from None
+                late = time.monotonic() >= attempt.begin_by and str(why) != "ECONNREFUSED"  # not its fault
+                raise Over(Outcome.MOOT if why.scarce or late else Outcome.CONNECT_FAILED) from None
             if not attempt.wanted:  # the last look before the first byte
                 self.pools.give(attempt.peer, conn)
                 raise Over(Outcome.MOOT)
--- a/aspenrill/engines/http.py
+++ b/aspenrill/engines/http.py
@@ -28,6 +28,7 @@
 DELETE_FOR, DELETE_AGAIN = 0.6, 0.2  # seconds for a DELETE, and between two
 TRIES = 4  # connections for a call that may be made twice
 MOST_RESULT = 48000
+ENDS = (202, 500, 503, 504), (500, 503, 504)  # what a query and a page of it are answered with, but for 200
 NOTES = {"frac": NoteKind.PROGRESS, "missing": NoteKind.SPILLS, "parked": NoteKind.WAITS}
 
 
@@ -81,7 +82,7 @@
     # ---- an attempt -----------------------------------------------------------------------------------
 
     def _carry(self, attempt: Attempt) -> None:
-        conn = self._begin(attempt, lambda: self._post(attempt))
+        conn, begun = self._begin(attempt, lambda: self._post(attempt)), False
         while True:
             try:
                 if conn is None:
@@ -90,6 +91,7 @@
                 head, body = self._hear(attempt, conn)
                 while head.status == 202:
                     share = self._note(attempt, head)
+                    begun = begun or bool(share) or head.headers.get("x-remark") == "missing"
                     conn = self._pause(attempt, conn, head, share)
                     self._ask(attempt, conn, "GET", f"/data/{attempt.call.id}/0")
                     head, body = self._hear(attempt, conn)
@@ -98,9 +100,13 @@
                 continue
             break
         if head.status != 200:
-            attempt.asked = None  # its end is written: there is nothing to give up
             self._back(attempt.peer, conn, head)
-            raise Over(self._refusal(head))
+            outcome = self._refusal(head)
+            if outcome.never_ran and begun:  # the one or the other is not true: it may have run
+                outcome = Outcome.ERROR
+            elif outcome.never_ran or head.status == 500:
+                attempt.asked = None  # its end is written: there is nothing to give up
+            raise Over(outcome)
         result = self._pages(attempt, conn, head, body)
         work, memory = number(head.headers, "x-spent"), number(head.headers, "x-wanted")
         raise Over(Outcome.OK, result=result, work=None if work is None else work / 1000, memory_mb=memory,
@@ -174,6 +180,8 @@
             head, body = self._response(conn, min(attempt.until, time.monotonic() + HUSH))
             if head.status == 200:
                 http1.check_page(head, body, page)
+            elif head.status not in ENDS[page > 0]:  # the answer to another kind of call
+                raise Malformed(f"status {head.status}")
         except (Closed, TimedOut, Malformed) as why:
             if isinstance(why, TimedOut):
                 self._leave(attempt.peer, conn)
--- a/aspenrill/engines/tds.py
+++ b/aspenrill/engines/tds.py
@@ -30,16 +30,19 @@
     return kind, bool(status & tds.END_OF_MESSAGE), conn.incoming.pull(size)
 
 
-def read_tokens(conn: Connection, reader: tds.TokenReader, until: float) -> None:
-    """The rest of a message into the reader."""
-    last = False
+def read_tokens(conn: Connection, reader: tds.TokenReader, until: float) -> int | None:
+    """The rest of a message into the reader; the kind of its first token."""
+    last, first = False, None
     while not last:
         kind, last, data = read_packet(conn, until)
         if kind != tds.REPLY:
             raise Malformed(f"packet of type {kind}")
+        if first is None and data:
+            first = data[0]
         reader.take(data)
     if not reader.answer.ended:
         raise Malformed("a message without its DONE")
+    return first
 
 
 def logging_in(user: str, app: str) -> Callable[[Connection, float], None]:
@@ -87,7 +90,7 @@
         reader = tds.TokenReader(self.most)
         attempt.state = (conn, reader)
         try:
-            read_tokens(conn, reader, attempt.until)
+            first = read_tokens(conn, reader, attempt.until)
         except Closed:
             self._drop(attempt)
             raise Over(Outcome.RESET) from None
@@ -98,7 +101,7 @@
         self.pools.give(attempt.peer, conn)
         answer = reader.answer
         if answer.error or answer.status & (tds.BAD | tds.SERVER_ERROR):
-            full = answer.error and answer.error[0] in NEVER_RAN and answer.columns is None
+            full = first == tds.ERROR and answer.error[0] in NEVER_RAN  # what comes before it has run
             raise Over(Outcome.FULL if full else Outcome.ERROR)
         raise Over(Outcome.OK, result=Result("tds", (), answer.tokens, answer.rows))
 
--- /dev/null
+++ b/tests/test_attempts.py
@@ -0,0 +1,240 @@
+"""What an attempt's end proves, whatever its engine does: each engine here answers from a script."""
+from __future__ import annotations
+
+import socket
+import struct
+import time
+
+import pytest
+
+from aspenrill import api
+from aspenrill.core.books import Attempt, Call, Ended, Peer
+from aspenrill.engines import pool
+from aspenrill.engines.http import HttpEngines
+from aspenrill.net.conn import Refused
+from aspenrill.net.hub import Hub, Signal
+from aspenrill.net.listener import Listener
+from aspenrill.wire import tds
+from standins.scene import play
+from standins.world import CLASSES, SETTINGS, World
+
+LONG = 20.0  # seconds that nobody waits for in a run that goes well
+BODY = b"a\tb\tc\n"
+OK = b"HTTP/1.1 200 X\r\nX-Batches: 1\r\nContent-Length: 6\r\n\r\n" + BODY
+NOTHING = "\r\nContent-Length: 0\r\n\r\n"
+
+
+def say(status: int, *fields: str) -> bytes:
+    return "\r\n".join([f"HTTP/1.1 {status} X", *fields]).encode() + NOTHING.encode()
+
+
+SHED, GONE = "X-Shed: 1", b"HTTP/1.1 204 X\r\n\r\n"
+HALF = say(202, "X-Remark: frac", "X-Num: 0.5")
+
+
+class Script:
+    """One engine and the attempts at it. `answers` are given in turn to what asks for a query: bytes, or what
+    to do with the connection; a DELETE is answered by `delete`."""
+
+    def __init__(self, answers=(), connect_for: float = LONG) -> None:
+        self.hub, self.logged = Hub(lambda text: self.logged.append(text)), []
+        self.answers, self.calls, self.posted = list(answers), [], []
+        self.delete = lambda conn: conn.write(GONE, time.monotonic() + LONG)
+        self.listener = Listener(self.hub, ("127.0.0.1", 0), self.serve, 99, "engine")
+        self.pools = pool.Pools(self.hub, 99, 30.0, connect_for)
+        self.engines = HttpEngines(self.hub, self.pools, SETTINGS, CLASSES, self.posted.append)
+        self.peer = Peer("e", self.listener.address, api.EngineState.LIVE)
+
+    def serve(self, conn) -> None:
+        while True:
+            head = conn.read_until(b"\r\n\r\n", time.monotonic() + 60).decode().lower()
+            size = int(head.split("content-length: ")[1].split("\r\n")[0]) if "content-length" in head else 0
+            conn.read(size, time.monotonic() + 60)
+            self.calls.append(head.split("\r\n")[0].split(" http")[0])
+            if head.startswith("delete"):
+                self.delete(conn)
+                continue
+            answer = self.answers.pop(0) if self.answers else say(500)
+            if callable(answer):
+                answer(conn)
+            else:
+                conn.write(answer, time.monotonic() + LONG)
+
+    def start(self, ident: str = "a", cls: str = "once", patience: float = LONG, **changed) -> Attempt:
+        now = time.monotonic()
+        call = Call(ident * 16, CLASSES.index(cls), 0, b"x", None, None, now, patience, lambda *_: None)
+        attempt = Attempt(call, self.peer, 0, call.deadline, 1)
+        for name, value in changed.items():
+            setattr(attempt, name, value)
+        self.engines.start(attempt)
+        return attempt
+
+    def until(self, true) -> None:
+        end = time.monotonic() + LONG
+        while not true():
+            assert time.monotonic() < end, "did not come true in time"
+            self.hub.sleep(0.005)
+
+    def end(self, attempt: Attempt) -> Ended:
+        """Its end, once told, and no other."""
+        def mine() -> list[Ended]:
+            return [end for end in self.posted if isinstance(end, Ended) and end.attempt is attempt]
+        self.until(mine)
+        self.until(lambda: attempt.task.dead)
+        assert len(mine()) == 1
+        return mine()[0]
+
+    def play(self, scene) -> None:
+        try:
+            play(self.hub, scene)
+        finally:
+            self.listener.close()
+            for conn in list(self.listener.connections):
+                conn.close()
+        assert not [text for text in self.logged if text.startswith("error")], self.logged
+
+
+@pytest.mark.parametrize("begin_by, outcome", [
+    (True, api.Outcome.MOOT), (False, api.Outcome.CONNECT_FAILED)])
+def test_no_connection_is_waited_for_beyond_the_first_byte(monkeypatch, begin_by, outcome):
+    # the request stood behind a dial that could be of no use, and its engine was counted as not reached
+    script = Script(connect_for=LONG if begin_by else 0.05)
+
+    def never(hub, address, until):
+        hub.sleep(until - time.monotonic())
+        raise Refused("no connection in time")
+
+    def scene() -> None:
+        monkeypatch.setattr(pool, "connect", never)
+        began = time.monotonic()
+        changed = {"begin_by": began + 0.05} if begin_by else {}
+        assert script.end(script.start(**changed)).outcome is outcome
+        assert time.monotonic() - began < LONG / 2 and (script.peer.failed_at > 0) != begin_by
+    script.play(scene)
+
+
+def test_a_request_that_is_given_up_hears_of_it_at_its_deadline_while_the_engine_does_not():
+    # it waited for a DELETE, and was failed as one without an answer, with an error for the people on call
+    script = Script([lambda conn: None] * 9)
+    heard = Signal(script.hub)
+    script.delete = lambda conn: heard.wait(LONG)
+
+    def scene() -> None:
+        attempt = script.start(patience=0.6)
+        script.until(lambda: script.calls)
+        script.engines.cancel(attempt)
+        script.until(lambda: script.posted)
+        assert script.posted[0].outcome is api.Outcome.TIMEOUT and not attempt.task.dead
+        assert 0 <= time.monotonic() - attempt.call.deadline
+        heard.set()
+        script.end(attempt)
+    script.play(scene)
+
+
+def test_no_end_is_told_before_the_engine_has_given_up():
+    script = Script([lambda conn: None] * 9)
+    heard, asked = Signal(script.hub), []
+
+    def delete(conn) -> None:
+        asked.append(conn)
+        heard.wait(LONG)
+        conn.write(GONE, time.monotonic() + LONG)
+
+    script.delete = delete
+
+    def scene() -> None:
+        attempt = script.start()
+        script.until(lambda: script.calls)
+        script.engines.cancel(attempt)
+        script.until(lambda: asked)
+        assert not script.posted
+        heard.set()
+        assert script.end(attempt).outcome is api.Outcome.CANCELLED
+    script.play(scene)
+
+
+@pytest.mark.parametrize("answers, outcome, deleted", [
+    ([say(503, SHED)], api.Outcome.FULL, False), ([say(504, SHED)], api.Outcome.MOOT, False),
+    ([say(202), say(503, SHED)], api.Outcome.FULL, False),  # it stood in the engine's line
+    ([say(202, "X-Remark: parked", "X-Num: 1"), say(504, SHED)], api.Outcome.MOOT, False),
+    ([HALF, say(503, SHED)], api.Outcome.ERROR, True), ([HALF, say(504, SHED)], api.Outcome.ERROR, True),
+    ([HALF, say(202), say(503, SHED)], api.Outcome.ERROR, True),
+    ([say(202, "X-Remark: missing", "X-Num: 9"), say(504, SHED)], api.Outcome.ERROR, True),
+    ([say(500)], api.Outcome.ERROR, False), ([say(500, SHED)], api.Outcome.ERROR, False),
+    ([say(503)], api.Outcome.ERROR, True), ([say(504)], api.Outcome.TIMEOUT, True),
+    ([say(503, "X-Shed: 0")], api.Outcome.ERROR, True),
+    ([GONE, OK], api.Outcome.OK, False), ([say(404), OK], api.Outcome.OK, False),
+    ([say(200), OK], api.Outcome.OK, False),
+    ([GONE] * 9, api.Outcome.ERROR, True)])
+def test_what_answers_prove(answers, outcome, deleted):
+    # a second answer to another call, or a word for both, was taken for this one's end while it ran
+    script = Script(answers)
+
+    def scene() -> None:
+        assert script.end(script.start()).outcome is outcome
+        assert any(call.startswith("delete") for call in script.calls) == deleted
+        assert sum(call.startswith("post") for call in script.calls) == 1
+    script.play(scene)
+
+
+@pytest.mark.parametrize("cls", ["once", "lookup"])
+@pytest.mark.parametrize("how", ["reset", "end", "reset unread", "read, then reset"])
+def test_a_byte_that_the_system_took_may_have_run(monkeypatch, cls, how):
+    # the engine's end comes between the last look at an idle connection and the write
+    script = Script([OK, None, OK] if how == "read, then reset" else [OK])
+    reset = struct.pack("ii", 1, 0)
+
+    def scene() -> None:
+        assert script.end(script.start()).outcome is api.Outcome.OK
+        mine, far = script.peer.idle[0], next(iter(script.listener.connections))
+
+        def cut(conn=None) -> None:
+            if how != "end":
+                far.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, reset)
+            far.close()
+            if conn is None:
+                script.until(lambda: mine.ended())
+        if how == "read, then reset":
+            script.answers[0] = cut
+        else:
+            write = mine.write_parts
+
+            def crossed(parts, until) -> None:
+                if how == "reset unread":
+                    write(parts, until)
+                    cut(far)  # before the engine's task has read
+                else:
+                    cut()
+                    write(parts, until)
+            mine.write_parts = crossed
+        attempt = script.start("b", cls)
+        end = script.end(attempt)
+        posts = sum(call.startswith("post") for call in script.calls)
+        if how == "reset":  # the system took not a byte
+            assert end.outcome is api.Outcome.OK and posts == 2
+        else:
+            assert not end.outcome.never_ran and posts == 1 + (how == "read, then reset")
+            assert "get /data/" + "b" * 16 + "/0" in script.calls
+    script.answers += [OK] if how == "reset" else []
+    script.play(scene)
+
+
+FULL = tds.error(10928, "no") + tds.done(tds.BAD)
+
+
+@pytest.mark.parametrize("tokens, outcome", [
+    (FULL, api.Outcome.FULL), (tds.error(8134, "no") + FULL, api.Outcome.ERROR),
+    (tds.done(tds.MORE, 1) + FULL, api.Outcome.ERROR),  # its first statement has run
+    (tds.text_columns(["a"]) + FULL, api.Outcome.ERROR),
+    (tds.done(tds.BAD), api.Outcome.ERROR), (b"\xaa\x01", api.Outcome.ERROR)])
+def test_only_an_error_before_all_else_proves_that_a_batch_was_turned_away(tokens, outcome):
+    world, seen = World("tds", 1), []
+
+    def scene() -> None:
+        engine, engines = world.engines[0], world.node.owner.engines
+        post = engines.post
+        engines.post = lambda event: (seen.append(event), post(event))
+        engine.batch = lambda conn, statement: engine.say(conn, tokens)
+        world.client("once").ask("insert 1; insert 2")
+        assert [end.outcome for end in seen if isinstance(end, Ended)][0] is outcome
+    world.run(scene)
