A second answer to one call is not taken for the answer to the next

Cause: answers carry no mark of their call. A second answer that came some milliseconds after the first, with its connection in use again by then (pool.take prefers others for SETTLE, but takes the only one at once; SAFE classes go without the look before the write), was served as the next request's, or as its refusal; a late 200 for a DELETE counted as the end of giving up (http._one looked at no status). Proved with an engine that answers from a script. Ruled out: within one attempt (http._ask looks before each write; a second page is known by X-Batch; a second 202 costs a question). Answers that never end: header by bytes or without end, 1xx, chunks and trailers without end, a body by bytes, half a status line or shed and then an end are bounded by HUSH, the ring, MOST_AHEAD and MOST_BODY, never passed on, and asked for again. Change: once a connection has brought what nobody asked for, for WARY_FOR each rests for SETTLE after an answer before the next call, in all classes, and is looked at; nothing is handed on unsettled. A DELETE or PUT is answered with 204 or 500 only. A priority is not sent for what is not out any more. As long as nothing of the kind has come, nothing changes: the first second answer in a minute can still be taken if its connection is in use again within those milliseconds.

--- a/aspenrill/engines/http.py
+++ b/aspenrill/engines/http.py
@@ -29,6 +29,7 @@
 TRIES = 4  # connections for a call that may be made twice
 MOST_RESULT = 48000
 ENDS = (202, 500, 503, 504), (500, 503, 504)  # what a query and a page of it are answered with, but for 200
+TOLD = 204, 500  # what a DELETE or a PUT is answered with: 500 where the query is not known any more
 NOTES = {"frac": NoteKind.PROGRESS, "missing": NoteKind.SPILLS, "parked": NoteKind.WAITS}
 
 
@@ -159,6 +160,7 @@
         if not conn.quiet():  # more came than belongs to the last answer, or an end
             if conn.open and conn.ended():
                 attempt.peer.broke_at = time.monotonic()
+            self.pools.look_at(conn)
             self.pools.drop(conn)
             raise Lost
         try:
@@ -317,7 +319,8 @@
         gone_at = attempt.asked + UNASKED
         while True:
             try:
-                self._one(attempt.peer, "DELETE", f"/data/{attempt.call.id}", time.monotonic() + DELETE_FOR)
+                self._one(attempt.peer, "DELETE", f"/data/{attempt.call.id}", time.monotonic() + DELETE_FOR,
+                          ends=TOLD)
                 return
             except Refused as why:
                 if self._gone(attempt, why):
@@ -331,8 +334,10 @@
 
     # ---- single calls ---------------------------------------------------------------------------------
 
-    def _one(self, peer: Peer, method: str, path: str, until: float, body: bytes = b"") -> http1.Head:
-        """A call that does no harm if made twice: again on a new connection where one breaks or is spoilt."""
+    def _one(self, peer: Peer, method: str, path: str, until: float, body: bytes = b"",
+             ends: tuple[int, ...] = ()) -> http1.Head:
+        """A call that does no harm if made twice: again on a new connection where one breaks or is spoilt, or
+        brings the answer to another call, which is none of `ends`."""
         for again in range(TRIES):
             try:
                 conn = self.pools.take(peer, until, fresh=again > 0)
@@ -343,6 +348,8 @@
             try:
                 conn.write(http1.request(method, path, self._host(peer), {}, body), until)
                 head = self._response(conn, until)[0]
+                if ends and head.status not in ends:
+                    raise Malformed(f"status {head.status}")
             except (Closed, Malformed):
                 self.pools.drop(conn)
                 if again == TRIES - 1:
@@ -355,9 +362,11 @@
             return head
 
     def _rank(self, attempt: Attempt, priority: int) -> None:
+        if attempt.asked is None or attempt.cancelled:
+            return  # its request will say so, or nobody cares any more
         try:
             self._one(attempt.peer, "PUT", f"/data/{attempt.call.id}", time.monotonic() + PROBE_FOR,
-                      str(priority).encode())
+                      str(priority).encode(), TOLD)
         except (Refused, Closed, TimedOut, Malformed):
             pass  # it keeps the priority it has
 
--- a/aspenrill/engines/pool.py
+++ b/aspenrill/engines/pool.py
@@ -16,8 +16,9 @@
 
 MOST_DIALING = 16  # connections to one engine that come up at a time
 SETTLE = 0.02  # seconds after an answer in which more than belongs to it may still come: others go first
+WARY_FOR = 60.0  # seconds after an answer that nobody asked for in which another is expected
 UP_LATEST = 2.0  # seconds in which a connection may still come up beside others, to lie idle
-DIAL = object()  # what a wait brings whose turn it is to dial
+LOOK = object()  # what a wait brings whose turn it is to look again for what there is
 AFTER_FAILURE = 0.1  # seconds without another try after one that did not come up
 
 
@@ -48,6 +49,7 @@
         self._sweeping = False  # a timer is set for the longest idle
         self.waiting: deque = deque()
         self.well_at: dict[Peer, float] = {}  # when an engine was last reached, of those that take work
+        self.odd_at = -1e9  # when one last brought what nobody asked for
         self.late: dict[Turn, Task] = {}  # dials whose taker has got another
 
     def take(self, peer: Peer, until: float, fresh: bool = False, sure: bool = True) -> Connection:
@@ -59,7 +61,7 @@
         now, waited = time.monotonic(), None
         until, latest = min(until, now + self.connect_for), min(until, now + 2 * self.connect_for)
         while True:
-            conn = None if fresh else self._rested(peer, sure)
+            conn = None if fresh else self._rested(peer, sure, until)
             if conn is not None:
                 if waited is not None:
                     self._next(peer)  # its turn was not for this one
@@ -84,14 +86,21 @@
             if got is None:
                 raise self._unreached(peer, now)
             waited = line
-            if got is not DIAL:
+            if got is not LOOK:
                 if self._sound(got, sure):
                     return got
                 self.drop(got)
 
-    def _rested(self, peer: Peer, sure: bool) -> Connection | None:
+    def _rested(self, peer: Peer, sure: bool, until: float) -> Connection | None:
         """An idle connection that is still sound, of those that have settled the latest used."""
         while peer.idle:
+            if self.wary:
+                settled = peer.idle[0].used + SETTLE
+                if settled > time.monotonic():
+                    self._settle(peer, min(settled, until))
+                    if settled > until:
+                        return None
+                    continue
             conn = peer.idle.pop(0 if time.monotonic() < peer.idle[-1].used + SETTLE else -1)
             self.hub.unidle(conn.fd)
             del self.resting[conn]
@@ -100,10 +109,30 @@
             self.drop(conn)
         return None
 
-    @staticmethod
-    def _sound(conn: Connection, sure: bool) -> bool:
+    def _settle(self, peer: Peer, until: float) -> None:
+        try:
+            self.hub.sleep(max(0.0, until - time.monotonic()))
+        except BaseException:
+            self._next(peer)  # what it waited for is for another
+            raise
+
+    def _sound(self, conn: Connection, sure: bool) -> bool:
         conn.reused = True
-        return conn.open and (not sure or conn.quiet())
+        if not conn.open or not (sure or self.wary) or conn.quiet():
+            return conn.open
+        self.look_at(conn)
+        return False
+
+    @property
+    def wary(self) -> bool:
+        """Whether answers that nobody asked for have come of late. One could be taken for the next call's: a
+        connection rests then for `SETTLE` seconds before that, whoever waits."""
+        return time.monotonic() < self.odd_at + WARY_FOR
+
+    def look_at(self, conn: Connection) -> None:
+        """A connection on which something came between two calls: more than was asked for, or its end."""
+        if conn.open and (len(conn.incoming) or conn.ended() is None):
+            self.odd_at = time.monotonic()
 
     def _dial(self, turn: Turn, first: float, until: float) -> Connection:
         """A new connection; Refused where none comes up in time.
@@ -195,11 +224,14 @@
     def give(self, peer: Peer, conn: Connection) -> None:
         """Back after a whole call."""
         if not peer.takes_work or not conn.open or len(conn.incoming):
+            if conn.open:
+                self.look_at(conn)
             self.drop(conn)
             return
         conn.used = self.well_at[peer] = time.monotonic()
         for line in (peer.waiting, self.waiting):
-            if line and self._wake(line, conn, lambda turn: turn.peer is peer and not turn.fresh):
+            if line and not self.wary and self._wake(
+                    line, conn, lambda turn: turn.peer is peer and not turn.fresh):
                 return
         if self.waiting:  # for a descriptor, to reach other engines
             self.drop(conn)
@@ -210,6 +242,8 @@
         if not self._sweeping:
             self._sweeping = True
             self.hub.timers.after(self.idle_for, self._sweep)
+        if peer.waiting:
+            self._next(peer)
 
     def drop(self, conn: Connection) -> None:
         """Close it."""
@@ -230,6 +264,8 @@
         """An idle connection has ended, or brings what nobody asked for."""
         if conn.ended():
             peer.broke_at = time.monotonic()
+        else:
+            self.look_at(conn)
         self._tired(peer, conn)
 
     def _tired(self, peer: Peer, conn: Connection) -> None:
@@ -256,16 +292,18 @@
     def _freed(self) -> None:
         """Room for a connection: for who waits longest."""
         if self.waiting and self.count < self.most:
-            self._wake(self.waiting, DIAL)
+            self._wake(self.waiting, LOOK)
 
     def _next(self, peer: Peer) -> None:
         """A turn that its owner did not use, or one more, goes on to who waits longest."""
         if peer.waiting and peer.dialing < MOST_DIALING:
-            self._wake(peer.waiting, DIAL)
+            self._wake(peer.waiting, LOOK)
+        elif peer.waiting and peer.idle:
+            self._wake(peer.waiting, LOOK, lambda turn: not turn.fresh)
         self._freed()
 
     def _wait(self, line: deque, turn: Turn, until: float, first: bool) -> Any:
-        """Wait in a line: a connection or DIAL, None where no turn comes in time. Whose turn another has used
+        """Wait in a line: a connection or LOOK, None where no turn comes in time. Whose turn another has used
         up waits `first` in it."""
         seconds = until - time.monotonic()
         if seconds <= 0:
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -60,6 +60,10 @@
             else:
                 conn.write(answer, time.monotonic() + LONG)
 
+    def far(self):
+        """The engine's end of the only connection."""
+        return next(iter(self.listener.connections))
+
     def start(self, ident: str = "a", cls: str = "once", patience: float = LONG, **changed) -> Attempt:
         now = time.monotonic()
         call = Call(ident * 16, CLASSES.index(cls), 0, b"x", None, None, now, patience, lambda *_: None)
@@ -186,7 +190,7 @@
 
     def scene() -> None:
         assert script.end(script.start()).outcome is api.Outcome.OK
-        mine, far = script.peer.idle[0], next(iter(script.listener.connections))
+        mine, far = script.peer.idle[0], script.far()
 
         def cut(conn=None) -> None:
             if how != "end":
@@ -238,3 +242,95 @@
         world.client("once").ask("insert 1; insert 2")
         assert [end.outcome for end in seen if isinstance(end, Ended)][0] is outcome
     world.run(scene)
+
+
+def rows(word: bytes) -> bytes:
+    return OK.replace(BODY, b"\t\t" + word + b"\n").replace(b"Length: 6", b"Length: %d" % (len(word) + 3))
+
+
+@pytest.mark.parametrize("cls", ["once", "lookup"])
+@pytest.mark.parametrize("how", ["while idle", "with the answer", "at the last look"])
+def test_a_second_answer_is_not_taken_for_that_to_the_next_call(monkeypatch, cls, how):
+    # once one has come, a connection rests before the next call: the second answer comes to light then
+    script = Script([rows(b"a")])
+    monkeypatch.setattr(pool, "SETTLE", 1.0)
+    second = []
+
+    def late(conn) -> None:
+        script.until(lambda: second)
+        conn.write(rows(b"c"), time.monotonic() + LONG)
+
+    def scene() -> None:
+        if how == "with the answer":
+            script.answers = [rows(b"a") * 2]
+        assert script.end(script.start()).outcome is api.Outcome.OK
+        if how != "with the answer":
+            mine, far, quiet = script.peer.idle[0], script.far(), script.peer.idle[0].quiet
+
+            def look() -> bool:
+                far.sock.send(rows(b"a"))
+                script.until(lambda: mine.ended() is None)
+                return quiet()
+            if how == "while idle":
+                far.sock.send(rows(b"a"))
+                script.until(lambda: not mine.open)
+            else:
+                mine.quiet = look
+        script.answers = [rows(b"b")]
+        script.end(script.start("b"))
+        script.until(lambda: len(script.listener.connections) == 1)
+        script.answers, far = [late], script.far()
+        third = script.start("c", cls)
+        for _ in range(5):
+            script.hub.give_way()
+        second.append(far.sock.send(rows(b"b")))  # the call is on its way by now, or waits
+        assert script.end(third).result.pages == (b"\t\tc\n",)
+    script.play(scene)
+
+
+def test_the_answer_to_another_call_does_not_end_a_giving_up():
+    script = Script([lambda conn: None] * 9)
+    said = [OK, GONE]
+    script.delete = lambda conn: conn.write(said.pop(0), time.monotonic() + LONG)
+
+    def scene() -> None:
+        attempt = script.start()
+        script.until(lambda: script.calls)
+        script.engines.cancel(attempt)
+        assert script.end(attempt).outcome is api.Outcome.CANCELLED and not said
+    script.play(scene)
+
+
+def endless(start: bytes, more: bytes, pause: float = 0.0):
+    def say_on(conn) -> None:
+        conn.write(start, time.monotonic() + LONG)
+        while True:
+            conn.write(more, time.monotonic() + LONG)
+            conn.hub.sleep(pause)
+    return say_on
+
+
+def broken(start: bytes):
+    def say_less(conn) -> None:
+        conn.write(start, time.monotonic() + LONG)
+        conn.close()
+    return say_less
+
+
+@pytest.mark.parametrize("spoilt", [
+    endless(b"HTTP/1.1 200 X\r\n", b"X", 0.02), endless(b"HTTP/1.1 200 X\r\n", b"X-More: more\r\n" * 50),
+    endless(b"", b"HTTP/1.1 100 X\r\n\r\n"), endless(b"", b"HTTP/1.1 100 X\r\n\r\n", 0.3),
+    endless(b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n", b"400\r\n" + b"x" * 1024 + b"\r\n"),
+    endless(b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n", b"1\r\nx\r\n", 0.02),
+    endless(b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", b"X: x\r\n", 0.02),
+    endless(b"HTTP/1.1 200 X\r\nX-Batches: 1\r\nContent-Length: 60000\r\n\r\n", b"x", 0.02),
+    broken(b"HTTP/1.1 2"), broken(b"HTTP/1.1 503 X\r\nX-Shed: 1\r\n"), broken(OK[:-1]),
+    broken(b"HTTP/1.1 503 X\r\nX-Shed: 1\r\nContent-Length: 9\r\n\r\n")])
+def test_an_answer_that_has_no_end_is_bounded_and_asked_for_again(spoilt):
+    script = Script([spoilt, rows(b"a")])
+
+    def scene() -> None:
+        end = script.end(script.start())
+        assert end.result is not None and end.result.pages == (b"\t\ta\n",)
+        script.until(lambda: script.pools.count == len(script.peer.idle) == 1)  # the other is closed
+    script.play(scene)
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -263,3 +263,35 @@
         lines.round()
         assert lines.pools.count == lines.peer.dialing == 0 and not lines.pools.late
     lines.play(scene)
+
+
+@pytest.mark.parametrize("interrupted", [False, True])
+def test_after_an_answer_that_nobody_asked_for_a_connection_settles_before_the_next_call(
+        monkeypatch, interrupted):
+    lines = Lines(monkeypatch, dialing=1)
+    monkeypatch.setattr(pool, "SETTLE", 1.5 if interrupted else 0.1)
+    pools, peer = lines.pools, lines.peer
+
+    def scene() -> None:
+        conn = pools.take(peer, time.monotonic() + LONG)
+        lines.held = True
+        lines.take("dialing", peer, True)
+        lines.round()
+        first = lines.take("first", peer)
+        lines.round()
+        lines.take("second", peer)
+        lines.round()
+        pools.odd_at, given = time.monotonic(), time.monotonic()
+        pools.give(peer, conn)
+        lines.round()
+        assert "first" not in lines.got or time.monotonic() > given + pool.SETTLE
+        if interrupted:
+            lines.gone(first, "interrupted")
+        name = "second" if interrupted else "first"
+        until(lines, lambda: name in lines.got)
+        assert lines.got[name] is conn and time.monotonic() >= given + pool.SETTLE
+        lines.held = False
+        lines.gate.set()
+        until(lines, lambda: "second" in lines.got)
+        lines.round()
+    lines.play(scene)
