An attempt of which no byte went out is moot, whatever becomes of it or its engine

Cause: engines/base._run told CANCELLED, which may still run, also where nothing had been written; _begin told CONNECT_FAILED of an engine that had begun to drain or been replaced meanwhile, a strike that falls to the next process under its name. Change: cancelled without a byte, or not reached once the engine takes no work, is MOOT.

--- a/aspenrill/engines/base.py
+++ b/aspenrill/engines/base.py
@@ -67,7 +67,7 @@
         except Over as over:
             end = Ended(attempt, over.outcome, **over.more)
         except Cancelled:
-            end = Ended(attempt, Outcome.CANCELLED)
+            end = Ended(attempt, Outcome.MOOT if attempt.asked is None else Outcome.CANCELLED)
         except TimedOut:
             end = Ended(attempt, Outcome.TIMEOUT)
         finally:
@@ -112,7 +112,8 @@
                 if why.broken and broken < AFRESH:
                     continue
                 late = time.monotonic() >= attempt.begin_by and str(why) != "ECONNREFUSED"  # not its fault
-                raise Over(Outcome.MOOT if why.scarce or late else Outcome.CONNECT_FAILED) from None
+                blameless = why.scarce or late or not attempt.peer.takes_work
+                raise Over(Outcome.MOOT if blameless else Outcome.CONNECT_FAILED) from None
             if not attempt.wanted:  # the last look before the first byte
                 self.pools.give(attempt.peer, conn)
                 raise Over(Outcome.MOOT)
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -295,3 +295,39 @@
         until(lines, lambda: "second" in lines.got)
         lines.round()
     lines.play(scene)
+
+
+@pytest.mark.parametrize("what", ["retire", "sweep", "news"])
+def test_a_connection_that_has_just_been_taken_is_its_takers_alone(monkeypatch, what):
+    lines = Lines(monkeypatch, dialing=1)
+    pools, peer = lines.pools, lines.peer
+
+    def scene() -> None:
+        conn = pools.take(peer, time.monotonic() + LONG)
+        lines.held = True
+        lines.take("dialing", peer, True)
+        lines.round()
+        lines.take("first", peer)
+        lines.round()
+        pools.give(peer, conn)  # on its way to the first, which has not run yet
+        if what == "retire":
+            peer.state = EngineState.DRAINING
+            pools.retire(peer)
+        elif what == "sweep":
+            pools.idle_for = 0.0
+            pools._sweep()
+        else:
+            lines.ends[0].close()
+            until(lines, lambda: conn.ended())
+        lines.round()
+        if what == "news":  # looked at by its taker
+            assert not conn.open
+        else:
+            assert lines.got["first"] is conn and conn.open
+            pools.give(peer, conn)
+            assert conn.open == (what == "sweep")
+        lines.held = False
+        lines.gate.set()
+        until(lines, lambda: "first" in lines.got)
+        lines.round()
+    lines.play(scene)
