--- a/aspenrill/engines/http.py
+++ b/aspenrill/engines/http.py
@@ -28,6 +28,8 @@
 DELETE_FOR, DELETE_AGAIN = 0.6, 0.2  # seconds for a DELETE, and between two
 TRIES = 4  # connections for a call that may be made twice
 MOST_RESULT = 48000
+ENDS = (202, 500, 503, 504), (500, 503, 504)  # what a query and a page of it are answered with, but for 200
+TOLD = 204, 500  # what a DELETE or a PUT is answered with: 500 where the query is not known any more
 NOTES = {"frac": NoteKind.PROGRESS, "missing": NoteKind.SPILLS, "parked": NoteKind.WAITS}
 
 
@@ -81,7 +83,7 @@
     # ---- an attempt -----------------------------------------------------------------------------------
 
     def _carry(self, attempt: Attempt) -> None:
-        conn = self._begin(attempt, lambda: self._post(attempt))
+        conn, begun = self._begin(attempt, lambda: self._post(attempt)), False
         while True:
             try:
                 if conn is None:
@@ -90,6 +92,7 @@
                 head, body = self._hear(attempt, conn)
                 while head.status == 202:
                     share = self._note(attempt, head)
+                    begun = begun or bool(share) or head.headers.get("x-remark") == "missing"
                     conn = self._pause(attempt, conn, head, share)
                     self._ask(attempt, conn, "GET", f"/data/{attempt.call.id}/0")
                     head, body = self._hear(attempt, conn)
@@ -98,9 +101,13 @@
                 continue
             break
         if head.status != 200:
-            attempt.asked = None  # its end is written: there is nothing to give up
             self._back(attempt.peer, conn, head)
-            raise Over(self._refusal(head))
+            outcome = self._refusal(head)
+            if outcome.never_ran and begun:  # the one or the other is not true: it may have run
+                outcome = Outcome.ERROR
+            elif outcome.never_ran or head.status == 500:
+                attempt.asked = None  # its end is written: there is nothing to give up
+            raise Over(outcome)
         result = self._pages(attempt, conn, head, body)
         work, memory = number(head.headers, "x-spent"), number(head.headers, "x-wanted")
         raise Over(Outcome.OK, result=result, work=None if work is None else work / 1000, memory_mb=memory,
@@ -153,6 +160,7 @@
         if not conn.quiet():  # more came than belongs to the last answer, or an end
             if conn.open and conn.ended():
                 attempt.peer.broke_at = time.monotonic()
+            self.pools.look_at(conn)
             self.pools.drop(conn)
             raise Lost
         try:
@@ -174,6 +182,8 @@
             head, body = self._response(conn, min(attempt.until, time.monotonic() + HUSH))
             if head.status == 200:
                 http1.check_page(head, body, page)
+            elif head.status not in ENDS[page > 0]:  # the answer to another kind of call
+                raise Malformed(f"status {head.status}")
         except (Closed, TimedOut, Malformed) as why:
             if isinstance(why, TimedOut):
                 self._leave(attempt.peer, conn)
@@ -309,7 +319,8 @@
         gone_at = attempt.asked + UNASKED
         while True:
             try:
-                self._one(attempt.peer, "DELETE", f"/data/{attempt.call.id}", time.monotonic() + DELETE_FOR)
+                self._one(attempt.peer, "DELETE", f"/data/{attempt.call.id}", time.monotonic() + DELETE_FOR,
+                          ends=TOLD)
                 return
             except Refused as why:
                 if self._gone(attempt, why):
@@ -323,8 +334,10 @@
 
     # ---- single calls ---------------------------------------------------------------------------------
 
-    def _one(self, peer: Peer, method: str, path: str, until: float, body: bytes = b"") -> http1.Head:
-        """A call that does no harm if made twice: again on a new connection where one breaks or is spoilt."""
+    def _one(self, peer: Peer, method: str, path: str, until: float, body: bytes = b"",
+             ends: tuple[int, ...] = ()) -> http1.Head:
+        """A call that does no harm if made twice: again on a new connection where one breaks or is spoilt, or
+        brings the answer to another call, which is none of `ends`."""
         for again in range(TRIES):
             try:
                 conn = self.pools.take(peer, until, fresh=again > 0)
@@ -335,6 +348,8 @@
             try:
                 conn.write(http1.request(method, path, self._host(peer), {}, body), until)
                 head = self._response(conn, until)[0]
+                if ends and head.status not in ends:
+                    raise Malformed(f"status {head.status}")
             except (Closed, Malformed):
                 self.pools.drop(conn)
                 if again == TRIES - 1:
@@ -347,9 +362,11 @@
             return head
 
     def _rank(self, attempt: Attempt, priority: int) -> None:
+        if attempt.asked is None or attempt.cancelled:
+            return  # its request will say so, or nobody cares any more
         try:
             self._one(attempt.peer, "PUT", f"/data/{attempt.call.id}", time.monotonic() + PROBE_FOR,
-                      str(priority).encode())
+                      str(priority).encode(), TOLD)
         except (Refused, Closed, TimedOut, Malformed):
             pass  # it keeps the priority it has
 
