The farm's connections may come up late; it counts what comes to a cold engine in requests

Cause: the farm handed each send over at once and knew only of work against the budget, while what makes a cold engine fall is counted at arrival, against N + 2 x root of N + 2. Change: a share of sends waits for a connection up to 1.5 s (begin_within is looked at when it is up, as the owner does); crowd() gives the worst window of each cold engine in requests and in work.

--- a/standins/farm.py
+++ b/standins/farm.py
@@ -7,8 +7,9 @@
 from __future__ import annotations
 
 import heapq
+import math
 import random
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from typing import Any
@@ -69,6 +70,7 @@
         self.gateways = [self.born(me) for me in range(settings.gateways)]
         self.weight = [1.0] * settings.gateways
         self.breaks = 0.0  # share of attempts whose connection is reset while they run
+        self.late, self.dial = 0.0, 1.5  # share of sends whose connection comes up late, and seconds at most
         self.loses = 0.0  # share of answers that never come; the gateway is told so `deaf` seconds later
         self.deaf = DEAF
         self.ran: dict[str, list[float]] = {}  # by request: when each attempt reached an engine
@@ -129,6 +131,21 @@
                 worst = max(worst, sent / (self.set.fall_multiple * engine.able(end, self.set) * span))
         return worst
 
+    def crowd(self) -> tuple[float, float]:
+        """Most requests, and most work, that came to a cold engine within the window, each against
+        N + 2 x root of N + 2, N being the requests of mean work that the settings allow it at that time."""
+        span, mean = self.set.fall_window, sum(w * m for w, m in zip(self.work, self.mix, strict=True))
+        worst, recent = (0.0, 0.0), {}
+        for at, name, work in self.fell:
+            mine = recent.setdefault(name, deque())
+            mine.append((at, work))
+            while mine[0][0] <= at - span:
+                mine.popleft()
+            allowed = self.set.fall_multiple * self.engines[name].able(at, self.set) * span / mean
+            most = allowed + 2 * math.sqrt(allowed) + 2
+            worst = max(worst[0], len(mine) / most), max(worst[1], sum(w for _, w in mine) / mean / most)
+        return worst
+
     def restart(self, who: list[int]) -> None:
         """Gateways are killed at once and come back with nothing learned; what they held is gone."""
         for me in who:
@@ -218,8 +235,8 @@
     def _carry(self, gateway: Gateway, actions: list[Any]) -> None:
         for action in actions:
             match action:
-                case api.Send(request, name, timeout, _):
-                    self._send(gateway, request, name, timeout)
+                case api.Send(request, name, timeout, within):
+                    self._send(gateway, request, name, timeout, within)
                 case api.Probe(name):
                     good = self.reaches(gateway, self.engines[name])
                     self.at(self.now + (PROBED if good else UNREACHED), self._probed, gateway, name, good)
@@ -230,23 +247,35 @@
                 case api.Refuse(request) | api.Fail(request):
                     self.ends[self.asked[request][0], type(action).__name__.lower()] += 1
 
-    def _send(self, gateway: Gateway, request: str, name: str, timeout: float) -> None:
+    def _send(self, gateway: Gateway, request: str, name: str, timeout: float, within: float) -> None:
         engine, (cls, whole, _, _) = self.engines[name], self.asked[request]
         number = len(gateway.queries[request].attempts) - 1
         work = Work(gateway, request, number, whole, whole, self.set.classes[cls].threads, self.now,
                     self.random.random() < engine.errors)
         if not self.reaches(gateway, engine):
             self.at(self.now + UNREACHED, self._end, work, name, Outcome.CONNECT_FAILED)
-            return
+        elif self.late and self.random.random() < self.late:
+            dial = self.random.random() * self.dial
+            self.at(self.now + dial, self._begin, work, name, timeout, within and self.now + within)
+        else:
+            self._begin(work, name, timeout, 0.0)
+
+    def _begin(self, work: Work, name: str, timeout: float, by: float) -> None:
+        """Its connection is up: its first byte goes out, if it is still wanted and not past `by` (0: any)."""
+        engine, out = self.engines[name], work.gateway.out.get(work.request)
+        cls = self.asked[work.request][0]
+        wanted = out and not out.ended and work.gateway in self.gateways and engine.up
+        if not wanted or by and self.now > by or engine.entry.state is not EngineState.LIVE:
+            return self._end(work, name, Outcome.MOOT)
         self.ends[cls, "sent"] += 1
         if engine.warm_at > self.now:
             self.fell.append((self.now, name, self.work[cls]))
         engine.runs.append(work)
-        self.ran.setdefault(request, []).append(self.now)
+        self.ran.setdefault(work.request, []).append(self.now)
         if self.breaks and self.random.random() < self.breaks:
-            self.at(self.now + whole / 2, self._stop, work, name, Outcome.RESET)
+            self.at(self.now + work.whole / 2, self._stop, work, name, Outcome.RESET)
         if timeout > 0:
-            self.at(self.now + timeout, self._stop, work, name, Outcome.TIMEOUT)
+            self.at(max(self.now, work.sent_at + timeout), self._stop, work, name, Outcome.TIMEOUT)
 
     def _stop(self, work: Work, name: str, outcome: Outcome) -> None:
         if work in (runs := self.engines[name].runs):
