A cold engine's turn and a keyed repeat begin in time, or are no try at all

Cause: both are allowed when decided (policy/sending._allowed, _may_repeat), while the first byte goes out when a connection is up, up to 1.5 s later: a repeat after its window is a second run, and late connections bring turns of several moments to a cold engine at once. Change: Send.begin_within is what is left of the window, and for a cold engine a tenth of the window in which it falls; the lesser of both. A bound attempt that comes back moot counts neither as an attempt nor as an extra one (the wire's rule 7 leaves moot ones out too), and its turn comes again at a chance moment within the window.

--- a/aspenrill/policy/admission.py
+++ b/aspenrill/policy/admission.py
@@ -14,7 +14,7 @@
 
 class Admission:
     def _on_request(self, ask: api.Request) -> None:
-        self.queries[ask.request] = query = Query(ask, self.now, self.classes[ask.cls].spec.is_load)
+        self.queries[ask.request] = query = Query(ask, self.now, self.classes[ask.cls].spec)
         trim(self.taken, self.now - self.set.retry_span).append(self.now)
         learned = self.classes[ask.cls]
         self.mix.count(learned, STEP / FEWEST, ask.memory_mb)  # older ones fade: the mix may turn for good
--- a/aspenrill/policy/choice.py
+++ b/aspenrill/policy/choice.py
@@ -71,14 +71,13 @@
         """To the engine with fewest own threads a core among those that may take it; of equals by chance."""
         some = self.live if len(self.live) <= LOOK else self.random.sample(self.live, LOOK)
         fits = not self.sparse or self._fits(query)
+        cold = self.random.sample(self.cold, min(LOOK, len(self.cold)))
         if self.sparse:
             able = [e for e in self.homes
                     if fits and e.healthy and self._allowed(query, e) and self._room(e, query, fits)]
-            some = (able or some) * fits + self.random.sample(self.cold, min(LOOK, len(self.cold)))
-        if self.thin:
-            answered = [e for e in query.asked if e.heard_at >= query.asked_at or self.news]
-            cold = self.random.sample(self.cold, min(LOOK, len(self.cold)))
-            some = answered + cold if answered else some
+            some = (able or some) * fits + cold
+        answered = self.thin and [e for e in query.asked if e.heard_at >= query.asked_at or self.news]
+        some = answered + cold if answered else some
         spec, best, best_load = self.classes[query.ask.cls].spec, None, (math.inf, 0.0)
         for engine in some:
             if not engine.healthy or not self._allowed(query, engine) or not self._room(engine, query, fits):
--- a/aspenrill/policy/outcomes.py
+++ b/aspenrill/policy/outcomes.py
@@ -19,6 +19,11 @@
         if end.outcome.may_still_run and query.ask.key is not None and self.set.key_rest is not None:
             self.key_rest = {k: t for k, t in self.key_rest.items() if t > self.now}
             self.key_rest[query.ask.key] = self.now + self.set.key_rest
+        if end.outcome is api.Outcome.MOOT and query.within(self.now):  # bound, and too late: not a try
+            query.sends -= 1  # its turn comes again within the window: of many that were late, not at once
+            engine.turns[query.ask.cls] = self.now + self.random.random() * self.set.fall_window
+            if query.sends and query.sent_at in self.extra:
+                self.extra.remove(query.sent_at)
         self._learn(query, engine, end)
         if end.outcome is api.Outcome.FULL:
             self.lost.append(self.now)
@@ -27,9 +32,7 @@
                 engine.load, engine.heard_at = 4 * JAMMED, self.now
                 self._tell(engine)
         if end.closed or query.ended:
-            query.ended = True
-            self.queries.pop(end.request, None)
-            self.lines.leave(query)
+            self._end(query, gone=True)
         elif end.outcome is api.Outcome.TIMEOUT and self.now > query.deadline - 3 * TICK:
             self._end(query, counted=not self.news)  # there a lost answer must not look like a full engine
         elif self._tt(query) > 0 and self.live and self._may_repeat(query, query.ran_on or self.live[0]):
--- a/aspenrill/policy/sending.py
+++ b/aspenrill/policy/sending.py
@@ -7,6 +7,7 @@
 from .figures import OVERDUE, PRESSURE, TICK, WATCH, WINDOW
 
 AMPLE, SAFETY = 4.0, 0.6  # times the estimate granted where a shortage pages; most of the cold budget used
+SOON = 0.1  # of the window in which a cold engine falls: how late a turn may begin, lest several come at once
 
 
 class Sending:
@@ -24,14 +25,13 @@
     def _may_repeat(self, query: Query, engine: Engine) -> bool:
         spec = self.classes[query.ask.cls].spec
         if query.ran_at is not None and spec.effect is not api.Effect.SAFE:
-            scope = spec.dedup_scope
-            away = scope != "all" and getattr(engine.entry, scope) != getattr(query.ran_on.entry, scope)
-            if spec.effect is api.Effect.UNSAFE or away or self.now >= query.ran_at + spec.dedup_window:
+            here, there = (getattr(e.entry, spec.dedup_scope, "all") for e in (engine, query.ran_on))
+            if spec.effect is api.Effect.UNSAFE or here != there or self.now >= query.known_until:
                 return False
         span, ratio = self.set.retry_span, self.set.retry_ratio  # both its ends on the safe side
         free = (self.set.retry_free or 0) + (ratio or 0) * len(trim(self.taken, self.now - span + TICK))
         within = ratio is None or len(trim(self.extra, self.now - span - TICK)) + 1 <= free
-        return within and len(query.attempts) < self.set.most_attempts
+        return not query.sends or within and query.sends < self.set.most_attempts
 
     def _has_turn(self, query: Query) -> bool:
         return not query.in_line or bool(self.lines.first(query) and (
@@ -56,8 +56,7 @@
         learned = self.classes[query.ask.cls]
         self._credit(query.ask.cls)
         learned.threads += step * learned.spec.threads
-        engine.threads += step * learned.spec.threads
-        engine.count_load(query.ask.data_set, step * learned.spec.is_load)
+        engine.count(learned.spec, query.ask.data_set, step)
 
     def _send(self, query: Query, engine: Engine) -> bool:
         """The one place that sends."""
@@ -65,26 +64,25 @@
             return False
         ask, learned = query.ask, self.classes[query.ask.cls]
         self.held.pop(ask.request, None)
-        ample = AMPLE if self.set.shortage_pages else learned.memory  # no query waits there for a grant
-        grant = ask.memory_mb * ample * self.set.grants_heeded
+        grant = ask.memory_mb * (learned.memory, AMPLE)[self.set.shortage_pages] * self.set.grants_heeded
         if self.set.priorities_heeded or grant:
             self.actions.append(api.SetTerms(ask.request, grant, self._priority(query)))
-        trim(self.extra, self.now - self.set.retry_span - TICK).extend([self.now] * bool(query.attempts))
-        query.attempts.append(engine.entry.engine)
-        query.engine, query.sent_at, query.suspect = engine, self.now, False
+        trim(self.extra, self.now - self.set.retry_span - TICK).extend([self.now] * bool(query.sends))
+        query.sent(engine, self.now)
         query.expected = max(self._work(query) / learned.spec.threads, learned.latency or learned.spec.aim)
         limit = OVERDUE * query.expected * self.ordinary  # an answer may be lost; a cancel frees the work
         limit = min(limit, max(limit / 2, self._tt(query)))  # in time for another, but a fair one first
         slow = self.thin and self.set.costs_told and self.ordinary > PRESSURE  # told costs prove it
         slow |= bool(self.rung) and not self.thin and not self.set.priorities_heeded  # it is in the way
-        again = self.set.may_cancel and len(query.attempts) < self.set.most_attempts
+        again = self.set.may_cancel and query.sends < self.set.most_attempts
         limit *= slow and again and learned.spec.effect is not api.Effect.UNSAFE
         engine.out[ask.request] = self.out[ask.request] = query
         self._count(query, engine, 1)
         if self.now < engine.cold_until:
             self._cold_turn(engine, ask.cls, after=True)
+            query.begin_by = min(query.begin_by, self.now + SOON * self.set.fall_window)
         trim(self.starts, self.now - WINDOW).append(self.now)
-        self.actions.append(api.Send(ask.request, engine.entry.engine, limit))
+        self.actions.append(api.Send(ask.request, engine.entry.engine, limit, query.within(self.now)))
         return True
 
     def _priority(self, query: Query) -> int:
--- a/aspenrill/state.py
+++ b/aspenrill/state.py
@@ -157,9 +157,10 @@
         self.loads: dict[int | None, int] = {}  # own loads out, by the group that they hold
         self.forget(now)
 
-    def count_load(self, group: int | None, step: int) -> None:
-        """One more load out (1), or one fewer (-1); 0 where it is none."""
-        if step and group is not None:
+    def count(self, spec: api.QueryClass, group: int | None, step: int) -> None:
+        """One more attempt of a class out here (1), or one fewer (-1); of a load, its group."""
+        self.threads += step * spec.threads
+        if spec.is_load and group is not None:
             self.loads[group] = self.loads.get(group, 0) + step
             if not self.loads[group]:
                 del self.loads[group]
@@ -198,13 +199,18 @@
 class Query:
     """One request that this gateway took."""
 
-    __slots__ = ("kind", "ask", "came", "deadline", "attempts", "sent_at", "expected", "engine", "ended",
-                 "spilled", "suspect", "afresh", "asked", "asked_at", "ran_at", "ran_on", "in_line")
+    __slots__ = ("spec", "kind", "ask", "came", "deadline", "attempts", "sends", "known_until", "begin_by",
+                 "sent_at", "expected", "engine", "ended", "spilled", "suspect", "afresh", "asked",
+                 "asked_at", "ran_at", "ran_on", "in_line")
 
-    def __init__(self, ask: api.Request, now: float, is_load: bool = False) -> None:
-        self.kind = (ask.cls, ask.data_set if is_load else None)  # finds room where another of it does
+    def __init__(self, ask: api.Request, now: float, spec: api.QueryClass) -> None:
+        self.spec = spec
+        self.kind = (ask.cls, ask.data_set if spec.is_load else None)  # finds room where another of it does
         self.ask, self.came, self.deadline = ask, now, now + ask.patience
         self.attempts: list[str] = []  # the engine of each attempt
+        self.sends = 0  # attempts, less those whose connection came up too late for them
+        self.known_until = math.inf  # keyed: until when engines know a repeat of what may have run
+        self.begin_by = math.inf  # the last moment for the first byte of the attempt sent last
         self.sent_at, self.expected, self.engine = 0.0, 0.0, None  # of the attempt that is out
         self.ended, self.spilled, self.suspect, self.afresh = False, False, False, False
         self.asked: list[Engine] = []  # probed for it at asked_at
@@ -213,10 +219,22 @@
         self.ran_on: Engine | None = None
         self.in_line = False  # of its ordered key
 
+    def sent(self, engine: Engine, now: float) -> None:
+        """One more attempt is out."""
+        self.attempts.append(engine.entry.engine)
+        self.sends, self.begin_by = self.sends + 1, self.known_until
+        self.engine, self.sent_at, self.suspect = engine, now, False
+
+    def within(self, now: float) -> float:
+        """Seconds left for the first byte of the attempt sent last; 0 where nothing bounds them."""
+        return self.begin_by - now if self.begin_by < math.inf else 0.0
+
     def may_have_run(self, engine: Engine | None, may: bool) -> None:
         """If the attempt sent last may have run there, and none before it: that counts from now on."""
         if may and self.ran_at is None:
             self.ran_at, self.ran_on = self.sent_at, engine
+            if self.spec.effect is api.Effect.KEYED:
+                self.known_until = self.sent_at + self.spec.dedup_window
 
 
 class Fleet:
--- a/standins/farm.py
+++ b/standins/farm.py
@@ -22,6 +22,7 @@
 CORE = 0.6  # of a core that a thread wants
 KNEE, THRASH = 1.7, 0.7  # threads a core from which work is lost, and how fast
 UNREACHED, DEAF, PROBED = 0.25, 1.6, 0.002  # seconds: a dial fails, a silent engine is left, a probe ends
+IDLE = 4.0  # seconds that a connection which came up late is kept
 
 
 @dataclass
@@ -70,7 +71,8 @@
         self.gateways = [self.born(me) for me in range(settings.gateways)]
         self.weight = [1.0] * settings.gateways
         self.breaks = 0.0  # share of attempts whose connection is reset while they run
-        self.late, self.dial = 0.0, 1.5  # share of sends whose connection comes up late, and seconds at most
+        self.late, self.dial = 0.0, 1.5  # share of connections that come up late, and seconds at most
+        self.kept: dict[tuple[Gateway, str], float] = {}  # until when one of those is there for the next
         self.loses = 0.0  # share of answers that never come; the gateway is told so `deaf` seconds later
         self.deaf = DEAF
         self.ran: dict[str, list[float]] = {}  # by request: when each attempt reached an engine
@@ -252,9 +254,10 @@
         number = len(gateway.queries[request].attempts) - 1
         work = Work(gateway, request, number, whole, whole, self.set.classes[cls].threads, self.now,
                     self.random.random() < engine.errors)
+        new = self.late and self.now > self.kept.get((gateway, name), 0.0)
         if not self.reaches(gateway, engine):
             self.at(self.now + UNREACHED, self._end, work, name, Outcome.CONNECT_FAILED)
-        elif self.late and self.random.random() < self.late:
+        elif new and self.random.random() < self.late:
             dial = self.random.random() * self.dial
             self.at(self.now + dial, self._begin, work, name, timeout, within and self.now + within)
         else:
@@ -264,6 +267,8 @@
         """Its connection is up: its first byte goes out, if it is still wanted and not past `by` (0: any)."""
         engine, out = self.engines[name], work.gateway.out.get(work.request)
         cls = self.asked[work.request][0]
+        if work.sent_at < self.now:
+            self.kept[work.gateway, name] = self.now + IDLE
         wanted = out and not out.ended and work.gateway in self.gateways and engine.up
         if not wanted or by and self.now > by or engine.entry.state is not EngineState.LIVE:
             return self._end(work, name, Outcome.MOOT)
--- a/tests/test_policy_sending.py
+++ b/tests/test_policy_sending.py
@@ -38,3 +38,45 @@
         actions = g.handle(0.1, api.Request("r", 0, 5.0, memory_mb=100.0))
         terms = [a for a in actions if isinstance(a, api.SetTerms)]
         assert terms[0].memory_mb == pytest.approx(100.0 * most)
+
+
+KEYED = api.QueryClass(aim=20.0, patience=30.0, effect=Effect.KEYED, dedup_window=6.0)
+COLD = dict(start_capacity=0.5, cold_for=10.0, fall_multiple=2.0, fall_window=1.5)
+
+
+def ended(send: api.Send, number: int, outcome: Outcome) -> AttemptEnded:
+    return AttemptEnded(send.request, number, send.engine, outcome, 0.1, False)
+
+
+def cool(g, now: float, *names: str) -> None:
+    entries = tuple(api.EngineEntry(n, api.EngineState.LIVE, started=now) for n in names)
+    g.handle(now, api.ListUpdate(api.ListMode.CHANGES, entries))
+
+
+def test_a_keyed_repeat_has_to_begin_while_its_key_is_known():
+    # a connection that came up late brought the repeat after the window: a second run
+    g = gateway("a", "b", classes=(KEYED,))
+    g.classes[0].latency = 0.1
+    first = sends(g.handle(1.0, api.Request("r", 0, 30.0)))[0]
+    again = sends(g.handle(5.0, ended(first, 0, Outcome.RESET)))[0]
+    assert first.begin_within == 0.0 and again.begin_within == pytest.approx(2.0)
+    assert not sends(g.handle(7.01, ended(again, 1, Outcome.MOOT)))
+    g = gateway("a", "b", classes=(KEYED,))  # what never ran needs no window
+    g.classes[0].latency = 0.1
+    first = sends(g.handle(1.0, api.Request("r", 0, 30.0)))[0]
+    assert sends(g.handle(8.0, ended(first, 0, Outcome.CONNECT_FAILED)))[0].begin_within == 0.0
+
+
+@pytest.mark.parametrize("more", [dict(most_attempts=1), dict(retry_ratio=0.0, retry_span=9.0)])
+def test_a_cold_engines_turn_that_began_too_late_is_no_try(more):
+    g = gateway("a", "b", **COLD, **more)
+    g.classes[0].work = g.classes[0].latency = 0.1
+    cool(g, 1.0, "a", "b")
+    for engine in g.live:
+        engine.turns = {0: 1.0, 1: 1.0}
+    first = sends(g.handle(1.1, api.Request("r", 0, 5.0)))[0]
+    assert first.begin_within == pytest.approx(0.15)
+    again = sends(g.handle(1.5, ended(first, 0, Outcome.MOOT)))[0]
+    assert again.engine != first.engine and not g.extra and g.fleet.engines[first.engine].healthy
+    assert not sends(g.handle(1.6, ended(again, 1, Outcome.RESET)))  # that one counts
+    assert 1.5 < g.fleet.engines[first.engine].turns[0] < 1.5 + 1.5  # it comes again
