Turns at cold engines follow what is learned; late ones count as attempts again

Change: what is left of a wait is scaled when the wait changes; until learned, a class's work is taken as the geometric mean of what aim and patience allow (Learned.careful_work).

--- a/aspenrill/policy/outcomes.py
+++ b/aspenrill/policy/outcomes.py
@@ -19,11 +19,8 @@
         if end.outcome.may_still_run and query.ask.key is not None and self.set.key_rest is not None:
             self.key_rest = {k: t for k, t in self.key_rest.items() if t > self.now}
             self.key_rest[query.ask.key] = self.now + self.set.key_rest
-        if end.outcome is api.Outcome.MOOT and query.within(self.now):  # bound, and too late: not a try
-            query.sends -= 1  # its turn comes again within the window: of many that were late, not at once
+        if end.outcome is api.Outcome.MOOT and query.within(self.now):  # late: its turn comes again, apart
             engine.turns[query.ask.cls] = self.now + self.random.random() * self.set.fall_window
-            if query.sends and query.sent_at in self.extra:
-                self.extra.remove(query.sent_at)
         self._learn(query, engine, end)
         if end.outcome is api.Outcome.FULL:
             self.lost.append(self.now)
--- a/aspenrill/policy/sending.py
+++ b/aspenrill/policy/sending.py
@@ -31,7 +31,7 @@
         span, ratio = self.set.retry_span, self.set.retry_ratio  # both its ends on the safe side
         free = (self.set.retry_free or 0) + (ratio or 0) * len(trim(self.taken, self.now - span + TICK))
         within = ratio is None or len(trim(self.extra, self.now - span - TICK)) + 1 <= free
-        return not query.sends or within and query.sends < self.set.most_attempts
+        return within and len(query.attempts) < self.set.most_attempts
 
     def _has_turn(self, query: Query) -> bool:
         return not query.in_line or bool(self.lines.first(query) and (
@@ -43,12 +43,13 @@
         least, age = rules.start_capacity, self.now - engine.entry.started
         able = min(least + (1 - least) * age / rules.cold_for, least * SAFETY * rules.fall_multiple)
         share = learned.asked / sum(c.asked for c in self.classes)
-        wait = learned.usual_work() * rules.gateways / (share * able * engine.cores)
+        wait = learned.careful_work() * rules.gateways / (share * able * engine.cores)
         place = (rules.me + zlib.crc32(engine.entry.engine.encode()) + cls) % rules.gateways + 0.5
         due = engine.turns.get(cls, engine.told_at + wait * place / rules.gateways)
+        due += max(0.0, due - self.now) * (wait / engine.waits.get(cls, wait) - 1)  # the rest, as learned
         if after or self.now > due + rules.fall_window:  # one not used is lost: saved up, all come at once
             due = self.now + wait * (1 if after else self.random.random())
-        engine.turns[cls] = due
+        engine.turns[cls], engine.waits[cls] = due, wait
         return due
 
     def _count(self, query: Query, engine: Engine, step: int) -> None:
@@ -67,14 +68,14 @@
         grant = ask.memory_mb * (learned.memory, AMPLE)[self.set.shortage_pages] * self.set.grants_heeded
         if self.set.priorities_heeded or grant:
             self.actions.append(api.SetTerms(ask.request, grant, self._priority(query)))
-        trim(self.extra, self.now - self.set.retry_span - TICK).extend([self.now] * bool(query.sends))
+        trim(self.extra, self.now - self.set.retry_span - TICK).extend([self.now] * bool(query.attempts))
         query.sent(engine, self.now)
         query.expected = max(self._work(query) / learned.spec.threads, learned.latency or learned.spec.aim)
         limit = OVERDUE * query.expected * self.ordinary  # an answer may be lost; a cancel frees the work
         limit = min(limit, max(limit / 2, self._tt(query)))  # in time for another, but a fair one first
         slow = self.thin and self.set.costs_told and self.ordinary > PRESSURE  # told costs prove it
         slow |= bool(self.rung) and not self.thin and not self.set.priorities_heeded  # it is in the way
-        again = self.set.may_cancel and query.sends < self.set.most_attempts
+        again = self.set.may_cancel and len(query.attempts) < self.set.most_attempts
         limit *= slow and again and learned.spec.effect is not api.Effect.UNSAFE
         engine.out[ask.request] = self.out[ask.request] = query
         self._count(query, engine, 1)
--- a/aspenrill/state.py
+++ b/aspenrill/state.py
@@ -79,6 +79,12 @@
         self.credit, self.credit_at = max(-debt * most, min(most, self.credit + spare)), now
         return self.credit
 
+    def careful_work(self) -> float:
+        """Core-seconds of a usual query, on the high side: until learned, between what its aim and its
+        patience would allow. An aim that is mostly stretch says little of the work."""
+        most = self.spec.threads * math.sqrt(self.spec.aim * self.spec.patience)
+        return self.work if self.work is not None else max(self.usual_work(), most)
+
     def usual_work(self) -> float:
         """Core-seconds of a usual query; the aim stands in, on the high side, until learned."""
         return self.work if self.work is not None else self.spec.aim * self.spec.threads
@@ -176,6 +182,7 @@
         self.holds: dict[int | None, float] = {}  # when queries of ours were told to wait for loads there
         self.mine, self.others = 0, None  # own threads then, and others'; None where nothing tells of them
         self.turns: dict[int, float] = {}  # while cold: when each class may next go there
+        self.waits: dict[int, float] = {}  # and the seconds between its turns, from which that was taken
 
     def hold(self, group: int | None, now: float) -> None:
         """A query of ours is told to stand still there for a load of this group."""
@@ -199,7 +206,7 @@
 class Query:
     """One request that this gateway took."""
 
-    __slots__ = ("spec", "kind", "ask", "came", "deadline", "attempts", "sends", "known_until", "begin_by",
+    __slots__ = ("spec", "kind", "ask", "came", "deadline", "attempts", "known_until", "begin_by",
                  "sent_at", "expected", "engine", "ended", "spilled", "suspect", "afresh", "asked",
                  "asked_at", "ran_at", "ran_on", "in_line")
 
@@ -208,7 +215,6 @@
         self.kind = (ask.cls, ask.data_set if spec.is_load else None)  # finds room where another of it does
         self.ask, self.came, self.deadline = ask, now, now + ask.patience
         self.attempts: list[str] = []  # the engine of each attempt
-        self.sends = 0  # attempts, less those whose connection came up too late for them
         self.known_until = math.inf  # keyed: until when engines know a repeat of what may have run
         self.begin_by = math.inf  # the last moment for the first byte of the attempt sent last
         self.sent_at, self.expected, self.engine = 0.0, 0.0, None  # of the attempt that is out
@@ -222,8 +228,7 @@
     def sent(self, engine: Engine, now: float) -> None:
         """One more attempt is out."""
         self.attempts.append(engine.entry.engine)
-        self.sends, self.begin_by = self.sends + 1, self.known_until
-        self.engine, self.sent_at, self.suspect = engine, now, False
+        self.engine, self.sent_at, self.suspect, self.begin_by = engine, now, False, self.known_until
 
     def within(self, now: float) -> float:
         """Seconds left for the first byte of the attempt sent last; 0 where nothing bounds them."""
--- a/standins/farm.py
+++ b/standins/farm.py
@@ -72,6 +72,7 @@
         self.weight = [1.0] * settings.gateways
         self.breaks = 0.0  # share of attempts whose connection is reset while they run
         self.late, self.dial = 0.0, 1.5  # share of connections that come up late, and seconds at most
+        self.beat = 0.0  # seconds between the moments at which they come up, many at once; 0: each by itself
         self.kept: dict[tuple[Gateway, str], float] = {}  # until when one of those is there for the next
         self.loses = 0.0  # share of answers that never come; the gateway is told so `deaf` seconds later
         self.deaf = DEAF
@@ -258,8 +259,9 @@
         if not self.reaches(gateway, engine):
             self.at(self.now + UNREACHED, self._end, work, name, Outcome.CONNECT_FAILED)
         elif new and self.random.random() < self.late:
-            dial = self.random.random() * self.dial
-            self.at(self.now + dial, self._begin, work, name, timeout, within and self.now + within)
+            up = self.now + self.random.random() * self.dial
+            up = math.ceil(up / self.beat) * self.beat if self.beat else up
+            self.at(up, self._begin, work, name, timeout, within and self.now + within)
         else:
             self._begin(work, name, timeout, 0.0)
 
