A note proves that an attempt runs; an aim that is stretch alone no longer divides by zero

Cause: (1) outcomes._on_note asked _may_repeat before ran_at was set, so a keyed query past its window was cancelled for a fresh start that could not follow, and then refused; and an unsafe query of which a note had told was sent again, or refused, if its engine then claimed that nothing ran. (2) Learned.usual_work is 0 until learned where a class's aim is 0 (wanted within a multiple of its work alone): ZeroDivisionError in Mix.

Change: a note counts as may-have-run; the work taken until learned is at least 1 ms a thread, worked out once (worked out at each look it cost 20 memory blocks a refused request, over the budget).

--- a/aspenrill/policy/outcomes.py
+++ b/aspenrill/policy/outcomes.py
@@ -72,6 +72,7 @@
     def _on_note(self, query: Query, note: api.AttemptNote) -> None:
         if query.engine is None or note.attempt != len(query.attempts) - 1:
             return
+        query.may_have_run(query.engine, True)  # it runs, whatever its end may say
         query.spilled |= note.kind is api.NoteKind.SPILLS
         learned, bad, still = self.classes[query.ask.cls], False, False
         if note.kind is api.NoteKind.PROGRESS and note.amount > 0:
--- a/aspenrill/state.py
+++ b/aspenrill/state.py
@@ -45,6 +45,7 @@
 
     def __init__(self, spec: api.QueryClass) -> None:
         self.spec, self.latency, self.work, self.scale = spec, None, None, None
+        self.guess = max(1e-3, spec.aim) * spec.threads  # work until learned; an aim may be stretch alone
         self.need = 0.0  # memory of a usual query, in MB
         self.threads, self.credit, self.credit_at = 0, 0.0, 0.0  # out; thread-seconds that it has not used
         self.plans = 4.0  # starts afresh to its credit, spent on queries that look like bad plans
@@ -87,7 +88,7 @@
 
     def usual_work(self) -> float:
         """Core-seconds of a usual query; the aim stands in, on the high side, until learned."""
-        return self.work if self.work is not None else self.spec.aim * self.spec.threads
+        return self.work if self.work is not None else self.guess
 
 
 class Mix:
--- a/tests/test_policy_sending.py
+++ b/tests/test_policy_sending.py
@@ -1,6 +1,8 @@
 """What is sent, with which limits, and what is not sent. The module alone, without the bench."""
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 from gateways import fill, gateway, sends, timers
 
@@ -79,3 +81,28 @@
     late = g.fleet.engines[first.engine]
     assert again.engine != first.engine and late.healthy and not late.strikes and not g.lost
     assert 1.5 < late.turns[0] < 1.5 + 1.5
+
+
+@pytest.mark.parametrize("gateways", [1, 40])
+def test_an_aim_that_is_stretch_alone_is_no_division_by_nothing(gateways):
+    spec = api.QueryClass(aim=0.0, patience=5.0, effect=Effect.SAFE, aim_stretch=2.0)
+    g = gateway("a", "b", classes=(spec, spec), gateways=gateways, **COLD)
+    cool(g, 1.0, "b")
+    assert sends(g.handle(1.1, api.Request("r", 0, 5.0)))
+
+
+def test_a_keyed_query_is_not_stopped_for_a_fresh_start_that_its_window_forbids():
+    for at, stopped in ((5.0, True), (8.0, False)):
+        g = gateway("a", "b", classes=(KEYED,), may_cancel=True)
+        g.classes[0].latency = g.classes[0].work = 0.1
+        send = sends(g.handle(1.0, api.Request("r", 0, 30.0)))[0]
+        note = api.AttemptNote("r", 0, send.engine, api.NoteKind.PROGRESS, 0.5)
+        assert any(isinstance(a, api.Cancel) for a in g.handle(at, note)) is stopped
+
+
+def test_an_unsafe_query_that_a_note_told_of_is_not_sent_again_whatever_its_engine_says():
+    g = gateway("a", "b", classes=(replace(KEYED, effect=Effect.UNSAFE),))
+    send = sends(g.handle(1.0, api.Request("r", 0, 30.0)))[0]
+    g.handle(1.2, api.AttemptNote("r", 0, send.engine, api.NoteKind.PROGRESS, 0.5))
+    actions = g.handle(1.3, ended(send, 0, Outcome.FULL))
+    assert not sends(actions) and any(isinstance(a, api.Fail) for a in actions)
