--- a/aspenrill/state.py
+++ b/aspenrill/state.py
@@ -45,6 +45,7 @@
 
     def __init__(self, spec: api.QueryClass) -> None:
         self.spec, self.latency, self.work, self.scale = spec, None, None, None
+        self.guess = max(1e-3, spec.aim) * spec.threads  # work until learned; an aim may be stretch alone
         self.need = 0.0  # memory of a usual query, in MB
         self.threads, self.credit, self.credit_at = 0, 0.0, 0.0  # out; thread-seconds that it has not used
         self.plans = 4.0  # starts afresh to its credit, spent on queries that look like bad plans
@@ -79,9 +80,15 @@
         self.credit, self.credit_at = max(-debt * most, min(most, self.credit + spare)), now
         return self.credit
 
+    def careful_work(self) -> float:
+        """Core-seconds of a usual query, on the high side: until learned, between what its aim and its
+        patience would allow. An aim that is mostly stretch says little of the work."""
+        most = self.spec.threads * math.sqrt(self.spec.aim * self.spec.patience)
+        return self.work if self.work is not None else max(self.usual_work(), most)
+
     def usual_work(self) -> float:
         """Core-seconds of a usual query; the aim stands in, on the high side, until learned."""
-        return self.work if self.work is not None else self.spec.aim * self.spec.threads
+        return self.work if self.work is not None else self.guess
 
 
 class Mix:
@@ -157,9 +164,10 @@
         self.loads: dict[int | None, int] = {}  # own loads out, by the group that they hold
         self.forget(now)
 
-    def count_load(self, group: int | None, step: int) -> None:
-        """One more load out (1), or one fewer (-1); 0 where it is none."""
-        if step and group is not None:
+    def count(self, spec: api.QueryClass, group: int | None, step: int) -> None:
+        """One more attempt of a class out here (1), or one fewer (-1); of a load, its group."""
+        self.threads += step * spec.threads
+        if spec.is_load and group is not None:
             self.loads[group] = self.loads.get(group, 0) + step
             if not self.loads[group]:
                 del self.loads[group]
@@ -175,6 +183,7 @@
         self.holds: dict[int | None, float] = {}  # when queries of ours were told to wait for loads there
         self.mine, self.others = 0, None  # own threads then, and others'; None where nothing tells of them
         self.turns: dict[int, float] = {}  # while cold: when each class may next go there
+        self.waits: dict[int, float] = {}  # and the seconds between its turns, from which that was taken
 
     def hold(self, group: int | None, now: float) -> None:
         """A query of ours is told to stand still there for a load of this group."""
@@ -198,13 +207,17 @@
 class Query:
     """One request that this gateway took."""
 
-    __slots__ = ("kind", "ask", "came", "deadline", "attempts", "sent_at", "expected", "engine", "ended",
-                 "spilled", "suspect", "afresh", "asked", "asked_at", "ran_at", "ran_on", "in_line")
+    __slots__ = ("spec", "kind", "ask", "came", "deadline", "attempts", "known_until", "begin_by",
+                 "sent_at", "expected", "engine", "ended", "spilled", "suspect", "afresh", "asked",
+                 "asked_at", "ran_at", "ran_on", "in_line")
 
-    def __init__(self, ask: api.Request, now: float, is_load: bool = False) -> None:
-        self.kind = (ask.cls, ask.data_set if is_load else None)  # finds room where another of it does
+    def __init__(self, ask: api.Request, now: float, spec: api.QueryClass) -> None:
+        self.spec = spec
+        self.kind = (ask.cls, ask.data_set if spec.is_load else None)  # finds room where another of it does
         self.ask, self.came, self.deadline = ask, now, now + ask.patience
         self.attempts: list[str] = []  # the engine of each attempt
+        self.known_until = math.inf  # keyed: until when engines know a repeat of what may have run
+        self.begin_by = math.inf  # the last moment for the first byte of the attempt sent last
         self.sent_at, self.expected, self.engine = 0.0, 0.0, None  # of the attempt that is out
         self.ended, self.spilled, self.suspect, self.afresh = False, False, False, False
         self.asked: list[Engine] = []  # probed for it at asked_at
@@ -213,10 +226,21 @@
         self.ran_on: Engine | None = None
         self.in_line = False  # of its ordered key
 
+    def sent(self, engine: Engine, now: float) -> None:
+        """One more attempt is out."""
+        self.attempts.append(engine.entry.engine)
+        self.engine, self.sent_at, self.suspect, self.begin_by = engine, now, False, self.known_until
+
+    def within(self, now: float) -> float:
+        """Seconds left for the first byte of the attempt sent last; 0 where nothing bounds them."""
+        return self.begin_by - now if self.begin_by < math.inf else 0.0
+
     def may_have_run(self, engine: Engine | None, may: bool) -> None:
         """If the attempt sent last may have run there, and none before it: that counts from now on."""
         if may and self.ran_at is None:
             self.ran_at, self.ran_on = self.sent_at, engine
+            if self.spec.effect is api.Effect.KEYED:
+                self.known_until = self.sent_at + self.spec.dedup_window
 
 
 class Fleet:
