A source that is stopped while its question is out tells nothing more

Cause, shown with a name server that says nothing: `Follower.stop` interrupts its task with Stopped, a kind of Closed; where the task waits for its own question, resolver/client.py `_put` takes every Closed for the end of a connection and asks on. The stop was lost and the source went on for good: after SIGHUP changed a source, the old and the new follower of one name told their whole lists in turn. And an error other than three kinds, as from what a sink does with a list, ended the follower's task, so that the source never looked again. Ruled out: waits in `many`, for another's flight and between two looks pass Stopped on; two looks of one source never run at once (one task); looks asked for meanwhile count as one.

Change: the follower keeps that it was stopped and looks at it after each look; any other error is reported and counts as a failed look.

Measured: both tests fail without it; test_watch, test_sources, test_resolver 97 passed.

--- a/aspenrill/roster/follower.py
+++ b/aspenrill/roster/follower.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import time
+import traceback
 from collections.abc import Sequence
 from typing import Protocol
 
@@ -39,6 +40,7 @@
         self.service, self.kinds_of_address = dns.name_of(service), FAMILIES[family]
         self.known: dict[dns.Name, tuple[str, ...]] = {}  # the last addresses of each target
         self.task: Task | None = None
+        self.stopped = False  # a wait in the resolver may take what interrupts it for the end of a connection
         self.again_asked = Queue(hub)
         self.next_look = 0.0  # of the monotonic clock, for people
 
@@ -47,7 +49,8 @@
         self.task = self.hub.spawn(self.run, name=f"source {self.name}")
 
     def stop(self) -> None:
-        """End, wherever it waits."""
+        """End, wherever it waits; nothing more is told, though a question that is out may run its time."""
+        self.stopped = True
         self.task.interrupt(Stopped("no longer wanted"))
 
     def again(self) -> None:
@@ -58,14 +61,20 @@
         """Look until stopped."""
         wait, anew = RETRY, False
         try:
-            while True:
+            while not self.stopped:
                 try:
                     members, asked, until = self.look(anew)
+                    if self.stopped:
+                        return
                     wait, pause = RETRY, max(LEAST_GAP, until - time.monotonic())
                     self.sink.told(self.name, members, asked)
                 except Stopped:
                     raise
-                except (Failed, Malformed, OSError) as why:
+                except Exception as why:
+                    if self.stopped:
+                        return
+                    if not isinstance(why, (Failed, Malformed, OSError)):
+                        self.hub.report(f"source {self.name}", traceback.format_exc())
                     self.sink.failed(self.name, str(why))
                     pause, wait = wait, min(RETRY_MOST, wait * 2)
                 self.next_look = time.monotonic() + pause
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -15,8 +15,10 @@
 from aspenrill.net.conn import Connection, Refused
 from aspenrill.net.hub import Closed, Hub, TimedOut
 from aspenrill.net.listener import Listener
+from aspenrill.resolver.client import Resolver
 from aspenrill.roster import bulletin as follower
 from aspenrill.roster import dial
+from aspenrill.roster.srv import Srv
 from aspenrill.wire import bulletin as wire
 from standins.scene import play
 from standins.world import Act, World
@@ -298,3 +300,55 @@
 
     play(hub, scene)
     assert posted == [2, 3]
+
+
+class Sink:
+    """What a source tells; the first of it may meet an error."""
+
+    def __init__(self, error: Exception | None = None) -> None:
+        self.heard, self.error = [], error
+
+    def told(self, *what) -> None:
+        self.heard.append("told")
+        if self.error is not None:
+            error, self.error = self.error, None
+            raise error
+
+    def failed(self, *what) -> None:
+        self.heard.append("failed")
+
+
+def test_a_source_that_is_stopped_while_its_question_is_out_tells_nothing_more(clock):
+    # the resolver takes what interrupts it for the end of a connection: two of one name told lists in turn
+    hub, sink = clock.hub(), Sink()
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as server:
+        server.bind(("127.0.0.1", 0))
+        server.setblocking(False)
+        source = Srv(hub, "x", Resolver(hub, [server.getsockname()]), "_x._tcp.test", "ipv4", sink)
+
+        def scene() -> None:
+            source.start()
+            while not hub._waits[1]:  # until its question is out
+                hub.sleep(0.01)
+            task = source.task
+            source.stop()
+            hub.sleep(12)
+            assert task.dead
+
+        play(hub, scene)
+        assert len(server.recv(512)) > 12 and sink.heard == []
+
+
+def test_an_error_in_what_a_source_tells_does_not_end_it(clock, monkeypatch):
+    lines: list[str] = []
+    hub, sink = clock.hub(lines.append), Sink(ValueError("a fault"))
+    source = Srv(hub, "x", Resolver(hub, [("127.0.0.1", 9)]), "_x._tcp.test", "ipv4", sink)
+    monkeypatch.setattr(source, "look", lambda anew: ([], time.monotonic(), time.monotonic() + 1))
+
+    def scene() -> None:
+        source.start()
+        hub.sleep(3.5)
+        source.stop()
+
+    play(hub, scene)
+    assert sink.heard[:3] == ["told", "failed", "told"] and lines[0].startswith("error: source x")
