--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -215,7 +215,8 @@
 
 
 @pytest.mark.parametrize("fates, takes", [([0.0], 0.0), ([LOST, 0.0], 0.5), ([LATE, LOST], 1.5),
-                                          ([LATE, 0.2], 0.7), ([LOST, LATE], 2.0), ([LOST, LOST], 2.1)])
+                                          ([LATE, 0.2], 0.7), ([LATE, 1.0], 1.5), ([LOST, LATE], 2.0),
+                                          ([LOST, LOST], 2.1)])
 def test_the_first_dial_that_comes_up_is_kept_and_the_other_is_closed(clock, monkeypatch, fates, takes):
     hub, dials = clock.hub(), Dials(monkeypatch)
     dials.fates = list(fates)
