--- a/aspenrill/node.py
+++ b/aspenrill/node.py
@@ -30,9 +30,9 @@
 
 CLIENT_SHARE, ENGINE_SHARE = 0.4, 0.5  # of the descriptors; the rest is for listeners, files and probes
 IDLE_MARGIN, LEAST_IDLE = 2.0, 1.0  # seconds by which a pooled connection is closed before the engine would
-TAKING = 0.65  # seconds after SIGTERM in which requests are taken: they come for up to 0.6 s (protocol, Figures)
-KILL_AFTER, LONGEST = 0.7, 3.0  # SIGKILL comes no sooner than this behind the longest deadline, LONGEST at most
-ANSWERED, ENDED = 0.3, 0.1  # seconds before SIGKILL by which all has its answer, and by which the process ends
+TAKING = 0.65  # seconds after SIGTERM in which requests are taken; by the protocol they come for up to 0.6 s
+KILL_AFTER, LONGEST = 0.7, 3.0  # seconds behind the longest deadline, LONGEST at most, to a SIGKILL
+ANSWERED, ENDED = 0.3, 0.1  # seconds before it by which all has its answer, and by which the process ends
 BASE_MB, ENGINE_KB = 26, 5  # memory without engines, and of one with its part of the list's text
 LEAST_LIST = 2048  # engines that are taken at any limit: 26 MB in all
 DEPLOY = Path(__file__).resolve().parent.parent / "deploy"
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -6,96 +6,15 @@
 import time
 
 import pytest
+from scripted import GONE, HALF, LONG, OK, SHED, Script, rows, say
 
 from aspenrill import api
-from aspenrill.core.books import Attempt, Call, Ended, Peer
+from aspenrill.core.books import Ended
 from aspenrill.engines import pool
-from aspenrill.engines.http import HttpEngines
 from aspenrill.net.conn import Refused
-from aspenrill.net.hub import Hub, Signal
-from aspenrill.net.listener import Listener
+from aspenrill.net.hub import Signal
 from aspenrill.wire import tds
-from standins.scene import play
-from standins.world import CLASSES, SETTINGS, World
-
-LONG = 20.0  # seconds that nobody waits for in a run that goes well
-BODY = b"a\tb\tc\n"
-OK = b"HTTP/1.1 200 X\r\nX-Batches: 1\r\nContent-Length: 6\r\n\r\n" + BODY
-NOTHING = "\r\nContent-Length: 0\r\n\r\n"
-
-
-def say(status: int, *fields: str) -> bytes:
-    return "\r\n".join([f"HTTP/1.1 {status} X", *fields]).encode() + NOTHING.encode()
-
-
-SHED, GONE = "X-Shed: 1", b"HTTP/1.1 204 X\r\n\r\n"
-HALF = say(202, "X-Remark: frac", "X-Num: 0.5")
-
-
-class Script:
-    """One engine and the attempts at it. `answers` are given in turn to what asks for a query: bytes, or what
-    to do with the connection; a DELETE is answered by `delete`."""
-
-    def __init__(self, answers=(), connect_for: float = LONG) -> None:
-        self.hub, self.logged = Hub(lambda text: self.logged.append(text)), []
-        self.answers, self.calls, self.posted = list(answers), [], []
-        self.delete = lambda conn: conn.write(GONE, time.monotonic() + LONG)
-        self.listener = Listener(self.hub, ("127.0.0.1", 0), self.serve, 99, "engine")
-        self.pools = pool.Pools(self.hub, 99, 30.0, connect_for)
-        self.engines = HttpEngines(self.hub, self.pools, SETTINGS, CLASSES, self.posted.append)
-        self.peer = Peer("e", self.listener.address, api.EngineState.LIVE)
-
-    def serve(self, conn) -> None:
-        while True:
-            head = conn.read_until(b"\r\n\r\n", time.monotonic() + 60).decode().lower()
-            size = int(head.split("content-length: ")[1].split("\r\n")[0]) if "content-length" in head else 0
-            conn.read(size, time.monotonic() + 60)
-            self.calls.append(head.split("\r\n")[0].split(" http")[0])
-            if head.startswith("delete"):
-                self.delete(conn)
-                continue
-            answer = self.answers.pop(0) if self.answers else say(500)
-            if callable(answer):
-                answer(conn)
-            else:
-                conn.write(answer, time.monotonic() + LONG)
-
-    def far(self):
-        """The engine's end of the only connection."""
-        return next(iter(self.listener.connections))
-
-    def start(self, ident: str = "a", cls: str = "once", patience: float = LONG, **changed) -> Attempt:
-        now = time.monotonic()
-        call = Call(ident * 16, CLASSES.index(cls), 0, b"x", None, None, now, patience, lambda *_: None)
-        attempt = Attempt(call, self.peer, 0, call.deadline, 1)
-        for name, value in changed.items():
-            setattr(attempt, name, value)
-        self.engines.start(attempt)
-        return attempt
-
-    def until(self, true) -> None:
-        end = time.monotonic() + LONG
-        while not true():
-            assert time.monotonic() < end, "did not come true in time"
-            self.hub.sleep(0.005)
-
-    def end(self, attempt: Attempt) -> Ended:
-        """Its end, once told, and no other."""
-        def mine() -> list[Ended]:
-            return [end for end in self.posted if isinstance(end, Ended) and end.attempt is attempt]
-        self.until(mine)
-        self.until(lambda: attempt.task.dead)
-        assert len(mine()) == 1
-        return mine()[0]
-
-    def play(self, scene) -> None:
-        try:
-            play(self.hub, scene)
-        finally:
-            self.listener.close()
-            for conn in list(self.listener.connections):
-                conn.close()
-        assert not [text for text in self.logged if text.startswith("error")], self.logged
+from standins.world import World
 
 
 @pytest.mark.parametrize("begin_by, outcome", [
@@ -244,10 +163,6 @@
     world.run(scene)
 
 
-def rows(word: bytes) -> bytes:
-    return OK.replace(BODY, b"\t\t" + word + b"\n").replace(b"Length: 6", b"Length: %d" % (len(word) + 3))
-
-
 @pytest.mark.parametrize("cls", ["once", "lookup"])
 @pytest.mark.parametrize("how", ["while idle", "with the answer", "at the last look"])
 def test_a_second_answer_is_not_taken_for_that_to_the_next_call(monkeypatch, cls, how):
@@ -334,106 +249,3 @@
         assert end.result is not None and end.result.pages == (b"\t\ta\n",)
         script.until(lambda: script.pools.count == len(script.peer.idle) == 1)  # the other is closed
     script.play(scene)
-
-
-def leave(script: Script, attempt: Attempt, how: str) -> None:
-    """What can become of an attempt, or of its engine, from outside."""
-    if how == "cancelled":
-        script.engines.cancel(attempt)
-        return
-    script.peer.retired, script.peer.state = how == "replaced", api.EngineState.DRAINING
-    script.engines.retire(script.peer)
-
-
-HOWS = ["cancelled", "draining", "replaced"]
-
-
-@pytest.mark.parametrize("how", HOWS)
-@pytest.mark.parametrize("where", ["not begun", "dialing", "in line"])
-def test_an_attempt_without_a_byte_is_moot_whatever_becomes_of_it(monkeypatch, where, how):
-    script = Script()
-    gate = Signal(script.hub)
-    monkeypatch.setattr(pool, "MOST_DIALING", 1)
-
-    def hold(hub, address, until):
-        gate.wait(LONG)
-        raise Refused("ECONNREFUSED")
-
-    def scene() -> None:
-        monkeypatch.setattr(pool, "connect", hold)
-        before = [script.start("d")] if where == "in line" else []
-        attempt = script.start()
-        for _ in range(0 if where == "not begun" else 3):
-            script.hub.give_way()
-        leave(script, attempt, how)
-        for _ in range(3):
-            script.hub.give_way()
-        gate.set()
-        for _ in range(3):
-            script.hub.give_way()
-        gate.set()
-        assert script.end(attempt).outcome is api.Outcome.MOOT and not script.calls
-        for other in before:
-            script.end(other)
-        script.until(lambda: script.pools.count == script.peer.dialing == 0)
-    script.play(scene)
-
-
-@pytest.mark.parametrize("how", HOWS)
-@pytest.mark.parametrize("where", ["pause", "silence"])
-def test_a_query_that_is_out_meets_a_cancel_or_its_engines_end_of_work(where, how):
-    # silence: it is asked for on another connection, and the first is read to its answer's end by itself
-    go = []
-
-    def held(answer: bytes):
-        def say_late(conn) -> None:
-            script.until(lambda: go)
-            conn.write(answer, time.monotonic() + LONG)
-        return say_late
-
-    first = say(202, "X-Remark: frac", "X-Num: 0.1") if where == "pause" else held(say(202))
-    script = Script([first, held(rows(b"a"))])
-
-    def scene() -> None:
-        attempt = script.start(began=time.monotonic() - 4.0)
-        script.until(lambda: script.peer.idle if where == "pause" else len(script.calls) > 1)
-        leave(script, attempt, how)
-        go.append(True)
-        end = script.end(attempt)
-        if how == "cancelled":
-            assert end.outcome is api.Outcome.CANCELLED and any(c.startswith("delete") for c in script.calls)
-        else:
-            assert end.outcome is api.Outcome.OK and end.result.pages == (b"\t\ta\n",)
-        script.until(lambda: script.pools.count == len(script.peer.idle))
-        assert how == "cancelled" or not script.peer.idle
-    script.play(scene)
-
-
-@pytest.mark.parametrize("when, told", [("before", False), ("while", True), ("after", False)])
-def test_a_priority_is_told_only_of_what_is_out(when, told):
-    script = Script([lambda conn: None, GONE])
-    asked = []
-
-    def delete(conn) -> None:
-        asked.append(conn)
-        script.until(lambda: len(asked) > 1)
-        conn.write(GONE, time.monotonic() + LONG)
-
-    script.delete = delete
-
-    def scene() -> None:
-        attempt = script.start()
-        if when != "before":
-            script.until(lambda: script.calls)
-        if when == "after":
-            script.engines.cancel(attempt)
-            script.until(lambda: asked)
-        script.engines.rank(attempt, 3)
-        script.until(lambda: len(script.calls) > told)
-        for _ in range(20):
-            script.hub.give_way()
-        asked.append(None)
-        script.engines.cancel(attempt)
-        script.end(attempt)
-        assert any(call.startswith("put") for call in script.calls) == told
-    script.play(scene)
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -13,7 +13,7 @@
 
 
 def leave(world: World, play) -> float:
-    """Play a scene while the program leaves; seconds that this took. `play` gets what says whether it is over."""
+    """Play a scene while the program leaves; seconds that took. `play` gets what says whether it is over."""
     ended: list[float] = []
     stop, world.hub.stop = world.hub.stop, lambda: ended.append(time.monotonic())
     began = time.monotonic()
