A test of the path looks at its own connection's session only

Cause: test_reports_of_40_pages took any open Session that the collector knows; one of an earlier test in the same process, whose hub was left, made two. Change: the session of the test's own connection, as strict.

--- a/tests/test_path_many.py
+++ b/tests/test_path_many.py
@@ -103,7 +103,7 @@
         for _ in range(2):
             together(world, client, [f"select {i}" for i in range(4)])  # more than the system's buffers take
             world.until(lambda: [o for o in gc.get_objects() if isinstance(o, Session) and o.busy])
-            [session] = [o for o in gc.get_objects() if isinstance(o, Session) and o.conn.open]
+            [session] = [o for o in gc.get_objects() if isinstance(o, Session) and o.conn is conn]
             together(world, client, [f"select {i}" for i in range(4, 12)])
             world.until(lambda: len(engine.ended) == 12)
             world.until(lambda s=session: not s.open and not s.fresh)
