A probe of a replaced process tells the module nothing of its successor

Cause: read in core/owner._on_probed: a probe that was out while its engine was replaced under the same id told its result of the new process (an ejection, or a load that is not its own). Change: the result of a retired record is dropped; nothing in the module waits for it.

--- a/aspenrill/core/owner.py
+++ b/aspenrill/core/owner.py
@@ -189,6 +189,8 @@
 
     def _on_probed(self, end: books.Probed) -> None:
         self._reached(end.peer, end.outcome)
+        if end.peer.retired:
+            return  # it tells of the process before: the one that has its id now is another
         if self.fleet is not None:
             self.fleet.probed(end)
         self._tell(api.ProbeEnded(end.peer.engine, end.outcome, end.latency, end.report))
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -123,3 +123,13 @@
                                    for name in (BAD, FINE))))
     assert made.retired == [FINE] and not any(peer.takes_work for peer in made.owner.peers.values())
     assert not made.owner.gateway.live and made.owner.faults == 1
+
+
+def test_a_probe_of_the_process_before_tells_nothing_of_the_one_that_has_its_id_now():
+    made, told = Scene(), []
+    before = made.owner.peers[BAD]
+    made.owner.gateway.handle = lambda now, event: told.append(event) or []
+    made.play(News(2, False, (Member(BAD, ("127.0.0.1", 80), api.EngineState.LIVE, started=9.0),)),
+              books.Probed(before, api.Outcome.CONNECT_FAILED, 0.1, None),
+              books.Probed(made.owner.peers[FINE], api.Outcome.OK, 0.1, None))
+    assert [event.engine for event in told if isinstance(event, api.ProbeEnded)] == [FINE]
