--- a/tests/test_fleet_faults.py
+++ b/tests/test_fleet_faults.py
@@ -164,8 +164,9 @@
             fleet.until(lambda p=process, n=step: p.text().count("keys and seeds read again") == n, "it has")
     settle(fleet)
     assert fleet.all_have("abcde", "ALIVE") and not found_dead(fleet, "abcde")
+    # strangers are met at joins, docs/operations/fleet-peers.md
     refused = [line for process in fleet for line in process.text().splitlines() if "refused" in line]
-    assert all("refused stranger: " in line for line in refused), refused  # at joins, as the page of peers says
+    assert all("refused stranger: " in line for line in refused), refused
     fleet.add("w", key_file=str(fleet.write_key("wrong", wrong)))
     fleet.add("o", key_file=str(fleet.write_key("old", old)))
     fleet.add("n", key_file=str(fleet.write_key("two", new, old)))
