--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -49,6 +49,16 @@
                 self.got[name] = why
         return self.hub.spawn(work)
 
+    def first_in_line(self):
+        """A connection that is taken, and the task of who waits first, while the one dial allowed is out."""
+        conn = self.pools.take(self.peer, time.monotonic() + LONG)
+        self.held = True
+        self.take("dialing", self.peer, True)
+        self.round()
+        first = self.take("first", self.peer)
+        self.round()
+        return conn, first
+
     def round(self, times: int = 4) -> None:
         """Let all run that can."""
         for _ in range(times):
@@ -273,12 +283,7 @@
     pools, peer = lines.pools, lines.peer
 
     def scene() -> None:
-        conn = pools.take(peer, time.monotonic() + LONG)
-        lines.held = True
-        lines.take("dialing", peer, True)
-        lines.round()
-        first = lines.take("first", peer)
-        lines.round()
+        conn, first = lines.first_in_line()
         lines.take("second", peer)
         lines.round()
         pools.odd_at, given = time.monotonic(), time.monotonic()
@@ -303,12 +308,7 @@
     pools, peer = lines.pools, lines.peer
 
     def scene() -> None:
-        conn = pools.take(peer, time.monotonic() + LONG)
-        lines.held = True
-        lines.take("dialing", peer, True)
-        lines.round()
-        lines.take("first", peer)
-        lines.round()
+        conn, _ = lines.first_in_line()
         pools.give(peer, conn)  # on its way to the first, which has not run yet
         if what == "retire":
             peer.state = EngineState.DRAINING
