--- a/aspenrill/api.py
+++ b/aspenrill/api.py
@@ -282,12 +282,26 @@
     priority: int
 
 
+class EndReason(Enum):
+    """Why a request was refused or failed, as the log tells it."""
+
+    PROGRAM_BEHIND = "program_behind"  # the front end's own program is late
+    ENTRY_GAP = "entry_gap"  # the rate ladder lets fewer in
+    TOO_LATE = "too_late"  # it cannot be answered on time
+    QUEUE_FULL = "queue_full"
+    QUEUE_TIMEOUT = "queue_timeout"
+    DEADLINE = "deadline"  # its last attempt took all of its time
+    NO_FURTHER_ATTEMPT = "no_further_attempt"  # its effect, budget, engines or time allow none
+    SHUTDOWN = "shutdown"
+
+
 @dataclass(slots=True)
 class Refuse:
     """Final answer: refused, the client may try again without harm, after `come_back` if given."""
 
     request: str
     come_back: float = 0.0
+    reason: EndReason | None = field(default=None, compare=False)  # for the log alone
 
 
 @dataclass(slots=True)
@@ -295,6 +309,7 @@
     """Final answer: failed, promising nothing about the effect."""
 
     request: str
+    reason: EndReason | None = field(default=None, compare=False)  # for the log alone
 
 
 @dataclass(slots=True)
--- a/aspenrill/control.py
+++ b/aspenrill/control.py
@@ -61,7 +61,7 @@
             case api.Closing():  # all get their answers; what is out may have run
                 for query in list(self.queries.values()):
                     query.may_have_run(query.engine, query.engine is not None)
-                    self._end(query)
+                    self._end(query, api.EndReason.SHUTDOWN)
             case api.TimerDue() if now >= self.timer_at - 1e-6:
                 self.timer_at = math.inf
                 self._watch()
--- a/aspenrill/core/books.py
+++ b/aspenrill/core/books.py
@@ -61,6 +61,7 @@
     open: bool = True
     gone: bool = False  # its client has left: its front says so here at once, and to the owner by `Left`
     sends: int = 0
+    first_sent_at: float = 0.0
     priority: int = 1
     attempt: Attempt | None = None  # the one that is out
     overtime: Any = None  # the timer past its deadline
--- a/aspenrill/core/owner.py
+++ b/aspenrill/core/owner.py
@@ -16,6 +16,7 @@
 from ..net.hub import Hub, Queue
 from . import books
 from .books import Attempt, Call, Failed, Final, Peer, Refused, Served
+from .requestlog import RequestLog
 
 UNREACHED = 3  # connections in a row that did not come up, from which an engine counts as not there
 MOST_ENGINES = 100_000  # that are kept where nobody says how many memory allows
@@ -51,6 +52,7 @@
         self.hub, self.settings, self.engines = hub, settings, engines
         self.queue, self.clock = Queue(hub), Clock()
         self.gateway = Gateway(settings, seed, self.clock())
+        self.log = RequestLog(hub.events, settings)
         self.open: dict[str, Call] = {}
         self.peers: dict[str, Peer] = {}
         self.listed = False
@@ -138,6 +140,8 @@
             call.attempt = None
         self._reached(attempt.peer, outcome)
         now = time.monotonic()
+        if outcome is not api.Outcome.OK:
+            self.log.attempt_ended(attempt, outcome)
         well = outcome is api.Outcome.OK
         freed = None
         if self.kept is not None:
@@ -306,13 +310,18 @@
                     if call.attempt is not None and call.attempt.priority != priority:
                         call.attempt.priority = priority
                         self.engines.rank(call.attempt, priority)
-            case api.Refuse(request, come_back):
+            case api.Refuse(request, come_back, reason):
                 call = self.open.get(request)
+                if call is not None:
+                    self.log.refused(call, reason)
                 if self.fleet is not None and call is not None:
                     self.fleet.refused(call)
                 self._final(call, Refused(come_back))
-            case api.Fail(request):
-                self._final(self.open.get(request), Failed())
+            case api.Fail(request, reason):
+                call = self.open.get(request)
+                if call is not None:
+                    self.log.failed(call, reason)
+                self._final(call, Failed())
             case api.Cancel(request, number):
                 call = self.open.get(request)
                 if call is not None and call.attempt is not None and call.attempt.number == number:
@@ -334,6 +343,10 @@
         attempt = Attempt(call, peer, call.sends, until, call.priority)
         if begin_within > 0:
             attempt.begin_by = now + begin_within
+        if call.sends:
+            self.log.attempt_repeated(call, peer, begin_within)
+        else:
+            call.first_sent_at = now
         call.sends += 1
         if self.kept is not None:
             self.kept.sent(call, self.kept.clock())
--- a/aspenrill/engines/http.py
+++ b/aspenrill/engines/http.py
@@ -168,6 +168,7 @@
                        min(attempt.until, time.monotonic() + SILENT))
             attempt.asked = time.monotonic()
         except (Closed, TimedOut) as why:
+            self._log_lost(attempt, why)
             if isinstance(why, Closed):
                 attempt.peer.broke_at = time.monotonic()
             self.pools.drop(conn)
@@ -185,6 +186,7 @@
             elif head.status not in ENDS[page > 0]:  # the answer to another kind of call
                 raise Malformed(f"status {head.status}")
         except (Closed, TimedOut, Malformed) as why:
+            self._log_lost(attempt, why)
             if isinstance(why, TimedOut):
                 self._leave(attempt.peer, conn)
             else:
@@ -201,6 +203,10 @@
         attempt.heard = time.monotonic()
         return head, body
 
+    def _log_lost(self, attempt: Attempt, why: Exception) -> None:
+        self.hub.events.event("engine_connection_lost", id=attempt.call.id, engine=attempt.peer.engine,
+                              reason=str(why) or type(why).__name__)
+
     def _leave(self, peer: Peer, conn: Connection) -> None:
         """Nobody waits for its answer any more; once that has come, the connection is good for another."""
         if conn.begun:
--- a/aspenrill/fronts/thrift.py
+++ b/aspenrill/fronts/thrift.py
@@ -70,12 +70,19 @@
         end, unless its client has gone. The connection is left for its orderly close."""
         try:
             self._take_all()
-        except (Closed, TimedOut):
-            pass
+        except Closed as why:
+            self._note_end(str(why))
+        except TimedOut:
+            self._note_end("no message in time")
         except Exception:
             self.service.hub.report("a thrift connection", traceback.format_exc())
         self._see_out()
 
+    def _note_end(self, reason: str) -> None:
+        """For the log, unless it is the ordinary one: a client that ends with nothing open."""
+        if self.conn.busy or not self.conn.over:
+            self.conn.end_reason = self.conn.end_reason or reason
+
     def _take_all(self) -> None:
         conn = self.conn
         self._frame(time.monotonic() + FIRST_FOR)
@@ -84,6 +91,7 @@
         while True:
             if self.deaf or self.bad >= MOST_BAD or len(self.answers) > MOST_OPEN:
                 self.deaf = conn.draining = True  # its last answer ends it
+                conn.end_reason = conn.end_reason or "messages that cannot be used"
                 if not conn.busy:
                     return
             taken = taken + 1 if len(conn.incoming) else 0
--- a/aspenrill/net/conn.py
+++ b/aspenrill/net/conn.py
@@ -62,6 +62,7 @@
         self.spoke, self.busy = False, 0  # for a listener: sent a whole message; how much is open on it
         self.draining = False  # to end, in order, once nothing is open on it
         self.used = time.monotonic()  # when it was last of use
+        self.end_reason = ""  # why this side ends it, for the log
 
     def close(self) -> None:
         """Over; tasks that wait on it get Closed. May be called twice."""
@@ -72,9 +73,10 @@
             self.incoming.clear()
             self.outgoing.clear()
 
-    def end(self) -> None:
+    def end(self, reason: str = "") -> None:
         """Begin the orderly close: shut the write side. A task that reads gets Closed and is to `linger`."""
         if self.open and not self.shut:
+            self.end_reason = self.end_reason or reason
             self.shut, self.shut_at = True, time.monotonic()
             try:
                 self.sock.shutdown(socket.SHUT_WR)
@@ -86,7 +88,7 @@
         """`end` it where nothing is open on it and nothing lies unread, in the system neither."""
         quiet = self.open and not (self.shut or self.busy or self.begun or len(self.incoming))
         if quiet and (quiet := self.ended() is not None):
-            self.end()
+            self.end("drained")
         return quiet
 
     def linger(self, seconds: float) -> None:
--- a/aspenrill/net/hub.py
+++ b/aspenrill/net/hub.py
@@ -15,6 +15,7 @@
 
 from greenlet import getcurrent, greenlet
 
+from .eventlog import EventLog
 from .timers import Timers
 
 READ, WRITE = select.POLLIN, select.POLLOUT
@@ -87,6 +88,7 @@
     def __init__(self, log: Callable[[str], None] | None = None) -> None:
         self.timers = Timers(time.monotonic)
         self.log = log or (lambda text: print(text, file=sys.stderr, flush=True))
+        self.events = EventLog(lambda text: self.log(text))
         self.loop = getcurrent()
         self._poll = select.poll()
         self._waits: dict[int, dict[int, tuple[Worker, int]]] = {READ: {}, WRITE: {}}  # by descriptor
--- a/aspenrill/net/listener.py
+++ b/aspenrill/net/listener.py
@@ -130,13 +130,17 @@
                     continue  # a message lies there
                 best = (rank, -age), conn
         if full and oldest is not None and now - oldest.shut_at >= LEAST_LINGER:
+            oldest.end_reason += ", cut short"
             self._forget(oldest)
         elif best is not None and ending < self._ending_places():
-            best[1].end()
+            best[1].end("room for another")
 
     def _forget(self, conn: Connection) -> None:
         if conn in self.connections:
             del self.connections[conn]
+            if conn.end_reason:
+                self.hub.events.event("connection_closed", front=self.name, reason=conn.end_reason,
+                                      idle=time.monotonic() - conn.used)
             self._one_left.set()
         conn.close()
 
--- a/aspenrill/node.py
+++ b/aspenrill/node.py
@@ -23,6 +23,7 @@
 from .net.conn import Connection
 from .net.hub import Hub
 from .net.listener import Listener
+from .net.wallclock import watch_wall_clock
 from .roster.bulletin import Bulletin
 from .settings import settings_from
 from .wire import Malformed
@@ -153,6 +154,7 @@
         self.fleet_facts: Any = None  # the latest `fleet.overload.facts.Facts`, where the fleet has that part
         self.goodbye: Callable[[], None] = lambda: None  # to the other front ends, where there are some
         hub.spawn(self.owner.run, name="owner")
+        hub.spawn(watch_wall_clock, hub, name="wall clock")
 
     def post(self, event: Any) -> None:
         """The only way to the owner."""
--- a/aspenrill/policy/admission.py
+++ b/aspenrill/policy/admission.py
@@ -23,18 +23,18 @@
         if learned.spec.in_order and self.set.key_rest is not None:
             self.lines.join(query)
         if ask.waited > self.shed_after[ask.cls]:
-            return self._end(query)  # this gateway falls behind: what it takes on now would be late
+            return self._end(query, api.EndReason.PROGRAM_BEHIND)  # what it takes on now would be late
         size = self._size(query)
         beside = max(BESIDE * LADDER ** (-2 * self.rung), self.sparse)  # few entries, of which r is rough
         if self.rung and (self.news or size > beside and self._credit(ask.cls) <= 0):  # else under its share
             small = self.news and size < LADDER ** -self.rung
             if self.now < self.next_entry and not small or self.news and size > BESIDE:
-                return self._end(query)  # uncounted: r is not to see the gap's own work
+                return self._end(query, api.EndReason.ENTRY_GAP)  # uncounted: r must not see the gap's work
             pays = self._work(query) / self.mix.work if self.news else size  # there small ones pay too
             self.next_entry = max(self.next_entry, self.now) + self.base_gap * LADDER ** self.rung * pays
             self.next_entry = min(self.next_entry, self.now + WINDOW) if small else self.next_entry
         if self.news and self._tt(query) < 0 and learned.latency:
-            return self._end(query)  # it cannot be on time
+            return self._end(query, api.EndReason.TOO_LATE)  # it cannot be on time
         self.entered.append(self.now)
         self.probes = min(self.probes + self.earned, 8 * PROBES)
         if self.thin and ask.patience > 3 * TICK:
@@ -46,7 +46,7 @@
         if (query.asked or tt > 0) and line < max(FEWEST if self.thin else 1, rate * tt):
             self.held[ask.request] = query
         else:
-            self._end(query, counted=True)
+            self._end(query, api.EndReason.QUEUE_FULL, counted=True)
 
     def _tt(self, query: Query) -> float:
         """Queue time-out: time left less the class's learned latency (its aim until learned)."""
@@ -63,7 +63,7 @@
             if not expire and (kind in blocked or kind[1] is not None and kind != self.freed):
                 continue  # most that wait wait for the same: a look at each would cost more than it finds
             if self._tt(query) < 0 and self.now > query.asked_at + 2 * TICK:
-                self._end(query, counted=True)
+                self._end(query, api.EndReason.QUEUE_TIMEOUT, counted=True)
             elif kind not in blocked and self._has_turn(query):
                 waits = not self.news and self.now < query.asked_at + TICK and any(
                     e.healthy and e.heard_at < query.asked_at for e in query.asked)  # not for one that hangs
--- a/aspenrill/policy/outcomes.py
+++ b/aspenrill/policy/outcomes.py
@@ -31,13 +31,14 @@
         if end.closed or query.ended:
             self._end(query, gone=True)
         elif end.outcome is api.Outcome.TIMEOUT and self.now > query.deadline - 3 * TICK:
-            self._end(query, counted=not self.news)  # there a lost answer must not look like a full engine
+            # with news of others a lost answer must not look like a full engine
+            self._end(query, api.EndReason.DEADLINE, counted=not self.news)
         elif self._tt(query) > 0 and self.live and self._may_repeat(query, query.ran_on or self.live[0]):
             self.held = {end.request: query, **self.held}  # it came before those that are held
             if self.thin:
                 self._ask_some(query)
         else:
-            self._end(query)
+            self._end(query, api.EndReason.NO_FURTHER_ATTEMPT)
 
     def _learn(self, query: Query, engine: Engine, end: api.AttemptEnded) -> None:
         learned, ask = self.classes[query.ask.cls], query.ask
--- a/aspenrill/policy/sending.py
+++ b/aspenrill/policy/sending.py
@@ -91,7 +91,8 @@
         size = 0.0 if self.classes[query.ask.cls].spec.is_load else self._size(query)
         return max(0, min(3, round(1.5 - math.log2(max(1e-6, size)))))
 
-    def _end(self, query: Query, gone: bool = False, counted: bool = False) -> None:
+    def _end(self, query: Query, reason: api.EndReason | None = None, gone: bool = False,
+             counted: bool = False) -> None:
         """The one place that ends a request: refused where that is harmless, failed otherwise."""
         ask, spec = query.ask, self.classes[query.ask.cls].spec
         query.ended = True
@@ -104,6 +105,7 @@
             shared = spec.effect is api.Effect.KEYED and spec.dedup_scope == "all"
             harmless = query.ran_at is None or spec.effect is api.Effect.SAFE or shared
             hint = min(max(WATCH, (self.next_entry - self.now) * (self.rung > 0)), self.set.longest_come_back)
-            self.actions.append(api.Refuse(ask.request, hint) if harmless else api.Fail(ask.request))
+            self.actions.append(api.Refuse(ask.request, hint, reason) if harmless
+                                else api.Fail(ask.request, reason))
         if query.engine is None:  # else its key waits for what is out
             self.lines.leave(query)
