No span of time depends on the wall clock: the module runs on the monotonic one

Cause: `core/owner.py:Clock` gave the decision module the Unix clock, never going back but at half speed behind a step back. All that the module times ran on it: dedup windows and rests of keys (twice as long behind a step back, over at once behind a step forward), deadlines and queue time-outs, the retry budget's window, ejections, the cold budget. Ruled out: other groups, engine-side repeats, pauses, lateness (docs/incidents). The class: a span measured by a clock that can be stepped, or by two clocks. Change: the owner tells the module `time.monotonic()`, and spans in an action begin at the moment of its decision, not at a later reading. Discovery's Unix stamps of starts come to that clock in `starttimes.py`, by bounds that hold whatever either wall clock says: a start is never taken for older than the promptest news and the wall clock at the program's start both allow. A start in the future made a cold engine's capacity negative and with it its turns immediate (`policy/sending.py:_cold_turn`); its age is 0 at least now. Membership, resolver and tool use the same clock (the resolver's moments were of the monotonic clock already, and were compared with the owner's). A test lets only `starttimes`, `net/wallclock`, the fleet's hour of UTC and its incarnation read the wall clock. Tests changed with the clock: starts that tests post to the owner are monotonic now; `started=5000` of an instance is the latest start known and so as good as new, where it was 5.0 before; `_act` takes the moment of its decision.

--- a/aspenrill/core/owner.py
+++ b/aspenrill/core/owner.py
@@ -33,25 +33,13 @@
     def retire(self, peer: Peer) -> None: ...
 
 
-class Clock:
-    """The system's Unix clock, but one that never goes back: set back, it runs at half speed for a while."""
-
-    def __init__(self) -> None:
-        self._last, self._at = time.time(), time.monotonic()
-
-    def __call__(self) -> float:
-        at = time.monotonic()
-        self._last, self._at = max(time.time(), self._last + (at - self._at) / 2), at
-        return self._last
-
-
 class Owner:
     """Owns the module; `queue` is the only way in."""
 
     def __init__(self, hub: Hub, settings: api.Settings, seed: int, engines: Engines) -> None:
         self.hub, self.settings, self.engines = hub, settings, engines
-        self.queue, self.clock = Queue(hub), Clock()
-        self.gateway = Gateway(settings, seed, self.clock())
+        self.queue = Queue(hub)
+        self.gateway = Gateway(settings, seed, time.monotonic())
         self.log = RequestLog(hub.events, settings)
         self.open: dict[str, Call] = {}
         self.peers: dict[str, Peer] = {}
@@ -261,15 +249,15 @@
     def _tell(self, event: api.Event) -> None:
         """What the module makes of an event. An error there, or in an action, costs only the request that it
         is about: all else that was decided is carried out."""
-        broken = False
+        now, broken = time.monotonic(), False
         try:
-            actions = self.gateway.handle(self.clock(), event)
+            actions = self.gateway.handle(now, event)
         except Exception:
             self._fault(f"module, at {type(event).__name__}")
             broken, actions = True, self.gateway.actions  # decided before the error
         for action in actions:
             try:
-                self._act(action)
+                self._act(action, now)
             except Exception:
                 self._fault(f"owner, at {type(action).__name__}")
                 request = getattr(action, "request", None)
@@ -299,10 +287,11 @@
         """The end of an attempt that the module may still hold to be out, and of which nobody else tells."""
         self.queue.put(api.AttemptEnded(request, 0, engine, outcome, 0.0, True))
 
-    def _act(self, action: api.Action) -> None:
+    def _act(self, action: api.Action, now: float) -> None:
+        """Carry out what was decided at `now`: spans that an action tells begin there."""
         match action:
             case api.Send(request, engine, timeout, begin_within):
-                self._send(self.open[request], self.peers[engine], timeout, begin_within)
+                self._send(self.open[request], self.peers[engine], timeout, begin_within, now)
             case api.SetTerms(request, _, priority):
                 call = self.open.get(request)
                 if call is not None:
@@ -337,8 +326,7 @@
             case api.WatchList():
                 pass  # the list comes unasked
 
-    def _send(self, call: Call, peer: Peer, timeout: float, begin_within: float) -> None:
-        now = time.monotonic()
+    def _send(self, call: Call, peer: Peer, timeout: float, begin_within: float, now: float) -> None:
         until = min(call.deadline, now + timeout) if timeout > 0 else call.deadline
         attempt = Attempt(call, peer, call.sends, until, call.priority)
         if begin_within > 0:
--- a/aspenrill/fleet/feed.py
+++ b/aspenrill/fleet/feed.py
@@ -5,6 +5,7 @@
 """
 from __future__ import annotations
 
+import time
 from collections import Counter, deque
 
 from .. import api
@@ -92,9 +93,9 @@
 
     def _list(self) -> None:
         """The list, where it has changed or an engine is no longer cold."""
-        gateway, clock = self.owner.gateway, self.owner.clock()
-        warm = [(e.entry.engine, THREADS_A_CORE * e.cores) for e in gateway.live if clock >= e.cold_until]
-        cold = [e.entry.engine for e in gateway.live if clock < e.cold_until]
+        gateway, now = self.owner.gateway, time.monotonic()
+        warm = [(e.entry.engine, THREADS_A_CORE * e.cores) for e in gateway.live if now >= e.cold_until]
+        cold = [e.entry.engine for e in gateway.live if now < e.cold_until]
         if (warm, cold) != self._engines:
             self._engines = warm, cold
             self.bridge.engines(warm, cold)
--- a/aspenrill/gathering.py
+++ b/aspenrill/gathering.py
@@ -1,9 +1,11 @@
 """Sources as configured, at work: resolvers, followers and the merged list, and how they change by SIGHUP."""
 from __future__ import annotations
 
+import time
 from collections.abc import Callable
 from typing import Any
 
+from .core.owner import MOST_ENGINES
 from .members import News
 from .membership.rule import Membership
 from .net.hub import Hub
@@ -18,11 +20,11 @@
 class Gathering:
     """Starts what the sources need, and changes it when they do."""
 
-    def __init__(self, hub: Hub, clock: Callable[[], float], sources: Sources, kinds: tuple[str, ...],
-                 post: Callable[[Any], None]) -> None:
+    def __init__(self, hub: Hub, sources: Sources, kinds: tuple[str, ...], post: Callable[[Any], None],
+                 most_engines: int = MOST_ENGINES, clock: Callable[[], float] = time.monotonic) -> None:
         self.hub, self.kinds, self.sources = hub, kinds, sources
         self.membership = Membership(sources.rules, sources.specs, clock(), policy_of(sources))
-        self.roster = Roster(hub, clock, self.membership, post)
+        self.roster = Roster(hub, clock, self.membership, post, most_engines)
         self.resolvers: dict[ResolverSpec, Resolver] = {}
         for source in sources.sources:
             self._begin(source)
--- a/aspenrill/members.py
+++ b/aspenrill/members.py
@@ -8,7 +8,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Member:
-    """One engine as the list names it; `started` in Unix seconds, 0 where it started long ago.
+    """One engine as the list names it.
+
+    `started` is 0 where it started long ago, else Unix seconds as a source stamps it, and seconds of the
+    monotonic clock behind `starttimes.StartTimes`.
 
     `priority` and `weight` are those of its SRV record (RFC 2782); None says nothing of its share.
     """
--- a/aspenrill/node.py
+++ b/aspenrill/node.py
@@ -26,6 +26,7 @@
 from .net.wallclock import watch_wall_clock
 from .roster.bulletin import Bulletin
 from .settings import settings_from
+from .starttimes import StartTimes
 from .wire import Malformed
 from .wire.bulletin import json_news
 
@@ -210,16 +211,23 @@
                 lambda pools, post: HttpEngines(hub, pools, config.settings, config.classes, post))
     node.owner.most_engines = config.most_engines
     gathering = _more_sources(hub, node, sources_file, config.kinds)
-    hear = node.owner.take if gathering is None else gathering.bulletin
+    starts = StartTimes(config.most_engines)
+
+    def hear(news: News, tell: Callable[[Any], None]) -> None:
+        if gathering is None:
+            tell(starts.news(time.monotonic(), news))
+        else:
+            gathering.bulletin(news)
+
     for news in config.known:
-        hear(news)
+        hear(news, node.owner.take)
     keyed = [c.effect is api.Effect.KEYED for c in config.settings.classes]
     node.listen(config.listen, thrift.Service(hub, config.classes, keyed, config.tenants, node.post,
                                               lambda: node.owner.well, shed_after(config.settings),
                                               min(WATCH, config.settings.longest_come_back)), "thrift")
     _extra_front(hub, node, tds_file, (config.classes, keyed, config.tenants))
     bulletin = Bulletin(hub, config.bulletin, config.last,
-                        node.post if gathering is None else gathering.bulletin, config.most_engines)
+                        lambda news: hear(news, node.post), config.most_engines)
     bulletin.start()
     regroup = _fleet(hub, node, fleet_file, config.classes, config.tenants)
 
@@ -291,4 +299,4 @@
         return None
     from .gathering import Gathering
 
-    return Gathering(hub, node.owner.clock, found, tuple(kinds), node.post)
+    return Gathering(hub, found, tuple(kinds), node.post, node.owner.most_engines)
--- a/aspenrill/policy/sending.py
+++ b/aspenrill/policy/sending.py
@@ -40,7 +40,7 @@
     def _cold_turn(self, engine: Engine, cls: int, after: bool = False) -> float:
         """When this class may next go to a cold engine, whose capacity is dealt out in turns of one query."""
         rules, learned = self.set, self.classes[cls]
-        least, age = rules.start_capacity, self.now - engine.entry.started
+        least, age = rules.start_capacity, max(0.0, self.now - engine.entry.started)
         able = min(least + (1 - least) * age / rules.cold_for, least * SAFETY * rules.fall_multiple)
         share = learned.asked / sum(c.asked for c in self.classes)
         wait = learned.careful_work() * rules.gateways / (share * able * engine.cores)
--- a/aspenrill/roster/merge.py
+++ b/aspenrill/roster/merge.py
@@ -11,6 +11,7 @@
 from ..membership.rule import Membership
 from ..net.hub import Hub
 from ..net.timers import Timer
+from ..starttimes import StartTimes
 
 FITNESS = 1.0  # seconds between two questions to the owner which engines are broken, where tiers need it
 
@@ -27,8 +28,9 @@
     """Owns the membership. Its sources' tasks call it; all it does is done at once, without a wait."""
 
     def __init__(self, hub: Hub, clock: Callable[[], float], membership: Membership,
-                 post: Callable[[Any], None]) -> None:
+                 post: Callable[[Any], None], most_engines: int) -> None:
         self.hub, self.clock, self.membership, self.post = hub, clock, membership, post
+        self.starts = StartTimes(most_engines, now=clock())
         self.sources: dict[str, Source] = {}
         self.number = 0
         self._timer: Timer | None = None
@@ -40,12 +42,14 @@
 
     def told(self, name: str, members: Sequence[Member], asked: float | None = None) -> None:
         """A whole list."""
-        self.membership.whole(self.clock(), name, members, asked)
+        now = self.clock()
+        self.membership.whole(now, name, self.starts.members(now, members), asked)
         self.flush()
 
     def changed(self, name: str, members: Sequence[Member]) -> None:
         """Changes to a list."""
-        self.membership.change(self.clock(), name, members)
+        now = self.clock()
+        self.membership.change(now, name, self.starts.members(now, members))
         self.flush()
 
     def failed(self, name: str, why: str) -> None:
--- a/aspenrill/sidecar.py
+++ b/aspenrill/sidecar.py
@@ -42,7 +42,7 @@
     node = Node(hub, app.settings, int.from_bytes(os.urandom(8), "big"), app.sockets, app.idle_for,
                 app.connect_for, lambda pools, post: TdsEngines(hub, pools, post, app.answer_bytes),
                 logging_in(app.user, app.app))
-    gathering, service = Gathering(hub, node.owner.clock, app.sources, app.kinds, node.post), None
+    gathering, service = Gathering(hub, app.sources, app.kinds, node.post, node.owner.most_engines), None
     if app.enabled:
         service = tds.Service(hub, app.logins, node.post, app.name)
         node.listen(app.listen, service, "tds")
--- a/aspenrill/tool/sources.py
+++ b/aspenrill/tool/sources.py
@@ -8,7 +8,6 @@
 from typing import Any
 
 from .. import application
-from ..core.owner import Clock
 from ..gathering import Gathering
 from ..net.address import show
 from ..net.hub import Hub
@@ -20,9 +19,9 @@
            ) -> tuple[dict[str, Any], list[str]]:
     """Ask all sources once, for so long at most: what came of it as plain data, and what was logged."""
     lines: list[str] = []
-    hub, clock = hub or Hub(), Clock()
+    hub = hub or Hub()
     hub.log = lines.append
-    gathering = Gathering(hub, clock, app.sources, app.kinds, lambda event: None)
+    gathering = Gathering(hub, app.sources, app.kinds, lambda event: None)
     found: dict[str, Any] = {}
 
     def wait() -> None:
@@ -30,7 +29,7 @@
         sources = gathering.membership.sources.values()
         while time.monotonic() < until and any(s.first and s.failing is None for s in sources):
             hub.sleep(LOOK)
-        found.update(report(gathering, app.kinds, clock()))
+        found.update(report(gathering, app.kinds, time.monotonic()))
         hub.stop()
 
     hub.spawn(wait)
--- a/benchmarks/sources.py
+++ b/benchmarks/sources.py
@@ -16,7 +16,6 @@
 
 from aspenrill import api
 from aspenrill import sources as config
-from aspenrill.core.owner import Clock
 from aspenrill.gathering import Gathering
 from aspenrill.members import Member
 from aspenrill.membership.flaps import Damping
@@ -55,7 +54,7 @@
     """Three engines, the first two of them announced, and a front end that follows."""
     world = World("thrift", 3, listed=False)
     server = NameServer(world.hub)
-    Gathering(world.hub, world.node.owner.clock, sources_of(server, rules), ("std",), world.node.post)
+    Gathering(world.hub, sources_of(server, rules), ("std",), world.node.post)
     announce(server, world.engines[:2])
     return world, server
 
@@ -174,7 +173,7 @@
     def scene() -> None:
         began = time.monotonic()
         for me in range(3):
-            Gathering(hub, Clock(), sources_of(server, patience=Patience(2.0, 8.0), family="ipv4"), ("std",),
+            Gathering(hub, sources_of(server, patience=Patience(2.0, 8.0), family="ipv4"), ("std",),
                       post(me))
         while min(heard) < targets:
             hub.sleep(0.05)
