A failing test: socket calls of a real front end that fail for a moment

Reading `net/` for errors that pass by themselves and are taken for ends: poll with ENOMEM leaves `Hub.run`, recv with ENOMEM and send with ENOBUFS or ENOMEM end a connection with what is open on it, close with EINTR or EIO skips what follows it. Change: `standins/failingcalls.py` makes calls of a front end fail with their documented errors, and reads and writes short; the test asks 360 requests on 6 connections and ends the program. `tests/frontend.py` is the process's harness, taken out of the test of clock steps.

--- a/tests/test_clock_steps.py
+++ b/tests/test_clock_steps.py
@@ -1,23 +1,16 @@
 """A real front end on a machine whose wall clock is stepped: all spans of time stay spans of real time."""
 from __future__ import annotations
 
-import json
 import math
-import os
-import socket
-import subprocess
-import sys
 import time
 from collections.abc import Iterator
 from pathlib import Path
-from types import SimpleNamespace
 
 import pytest
-from test_release import INFO, Feed
+from frontend import WITHIN, FrontEnd
+from test_release import INFO
 
-from aspenrill.net.conn import Connection, Refused
-from aspenrill.net.hub import Hub
-from aspenrill.wire import bulletin as wire
+from aspenrill.net.conn import Connection
 from standins.scene import play
 from standins.steppedclock import step_to
 from standins.world import Act, HttpEngine, Reply, ThriftClient
@@ -25,7 +18,6 @@
 WINDOW = 1.0  # seconds in which engines know a repeat of a keyed request
 SLACK = 0.05  # that the protocol adds to each time limit
 BAD_PLAN_AT = 1.25 * WINDOW  # age at which a query tells that it gets nowhere: a repeat is too late by then
-WITHIN = 60.0  # seconds of a machine that is busy; all holds much sooner
 STEPS = [0.0, -2.0, -3600.0, 5.0, 3600.0]
 SETTINGS = INFO | {
     "classes": [{"name": "booking", "effect": "by_key", "on_time_ns": 10**10, "give_up_ns": 2 * 10**10,
@@ -54,73 +46,23 @@
         return self.say(conn, 202, {"X-Remark": "frac", "X-Num": "0.99" if age < self.turns_at else "0.01"})
 
 
-class Stepped:
-    """A front end as a process under a wall clock that can be stepped, two engines, a bulletin."""
+class Stepped(FrontEnd):
+    """Under a wall clock that can be stepped."""
 
     def __init__(self, folder: Path) -> None:
-        self.lines: list[str] = []
-        self.hub, self.folder, self.offset = Hub(self.lines.append), folder, folder / "offset"
-        self.feed = Feed(self.hub, [])
-        self.engines = [Turning(self.hub, f"s-{number:08x}") for number in (1, 2)]
-        self.place = socket.socket()  # not listening: it holds its port
-        self.place.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.place.bind(("127.0.0.1", 0))
-        self.process: subprocess.Popen | None = None
+        self.offset = folder / "offset"
+        super().__init__(folder, ("-m", "standins.steppedclock", str(self.offset)), Turning)
         self.step(0.0)
 
     def step(self, seconds: float) -> None:
         """The process's wall clock is off by so much from now on."""
         step_to(self.offset, seconds)
 
-    def start(self, settings: dict = SETTINGS, born_ms: tuple[int, ...] = (0, 0)) -> None:
-        hosts = [{"host": engine.name, "dial": f"127.0.0.1:{engine.listener.address[1]}", "site": "z",
-                  "class": "k", "block": 0, "health": "in_service", "share": 4, "born_ms": born}
-                 for engine, born in zip(self.engines, born_ms, strict=True) if born is not None]
-        self.feed.events.append((1, wire.NOTHING, b""))
-        path = self.folder / "node.json"
-        path.write_text(json.dumps({
-            "name": "n", "listen": "{}:{}".format(*self.place.getsockname()), "seed": "1",
-            "limits": {"sockets": 64}, "bulletin": "{}:{}".format(*self.feed.listener.address),
-            "known": {"no": 1, "items": [{"no": 1, "roster": {"seq": 1, "whole": True, "hosts": hosts}}]},
-            "settings": settings}))
-        with open(self.folder / "log", "wb") as log:
-            self.process = subprocess.Popen(
-                [sys.executable, "-m", "standins.steppedclock", str(self.offset), "aspenrill"],
-                stderr=log, env=os.environ | {"NODE_CONFIG": str(path)})
-
-    def client(self, cls: str = "booking") -> ThriftClient:
-        at, end = SimpleNamespace(hub=self.hub, address=self.place.getsockname()), time.monotonic() + WITHIN
-        while True:
-            assert time.monotonic() < end and self.process.poll() is None, self.log()
-            try:
-                return ThriftClient(at, cls, 20.0)
-            except Refused:
-                self.hub.sleep(0.05)
-
-    def log(self) -> str:
-        return (self.folder / "log").read_text()
-
     def act(self, act: Act, turns_at: float = BAD_PLAN_AT) -> None:
         """What engines do from now on."""
         for engine in self.engines:
             engine.act, engine.turns_at = lambda statement: act, turns_at
 
-    def tell(self, engine: HttpEngine, born_ms: int) -> None:
-        """One more engine, by the bulletin."""
-        self.feed.events.append((len(self.feed.events) + 1, wire.CHANGES, wire.RECORD.pack(
-            int(engine.name[2:], 16), b"\x7f\0\0\1", engine.listener.address[1], 0, 0, 0, 0, 1000, born_ms)))
-
-    def begins(self, statement: str) -> list[float]:
-        """When it began anywhere."""
-        return sorted(at for engine in self.engines for at, text in engine.began if text == statement)
-
-    def stop(self) -> None:
-        if self.process is not None:
-            self.process.kill()
-            self.process.wait()
-        for place in (self.feed.listener, *(engine.listener for engine in self.engines), self.place):
-            place.close()
-
 
 @pytest.fixture
 def stepped(tmp_path: Path) -> Iterator[Stepped]:
@@ -134,7 +76,7 @@
     replies: list[Reply] = []
 
     def scene() -> None:
-        client = stepped.client()
+        client = stepped.client("booking")
         stepped.act(Act())
         for number in range(10):
             assert client.ask(f"short {number}", WITHIN).kind == "served"
@@ -145,7 +87,7 @@
         stepped.step(by)
         replies.append(client.read(WITHIN))
 
-    stepped.start()
+    stepped.start(SETTINGS)
     play(stepped.hub, scene)
     return replies[0], stepped.begins("long")
 
@@ -167,7 +109,7 @@
 @pytest.mark.parametrize("by", [0.0, -3600.0, 3600.0])
 def test_a_request_that_is_held_keeps_its_time(stepped, by):
     def scene() -> None:
-        client = stepped.client()
+        client = stepped.client("booking")
         stepped.act(Act())
         for number in range(10):
             assert client.ask(f"short {number}", WITHIN).kind == "served"
--- /dev/null
+++ b/tests/test_failing_calls.py
@@ -0,0 +1,61 @@
+"""A real front end whose calls to the system fail as Linux documents: each request has its one answer."""
+from __future__ import annotations
+
+import signal
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+from frontend import WITHIN, FrontEnd
+from test_release import INFO
+
+from aspenrill.net.conn import Refused
+from aspenrill.net.hub import Closed, TimedOut
+from standins.scene import play
+from standins.world import ROWS, Act, ThriftClient
+
+RATE, CLIENTS, ASKED = 0.05, 6, 60  # of calls that fail; connections, and requests of each
+SETTINGS = INFO | {"group_size": 1, "me": 0}
+
+
+@pytest.fixture(params=["1", "2", "3"])
+def failing(request, tmp_path: Path) -> Iterator[FrontEnd]:
+    made = FrontEnd(tmp_path, ("-m", "standins.failingcalls", request.param, str(RATE)))
+    yield made
+    made.stop()
+
+
+def test_each_request_has_one_answer_whatever_calls_fail(failing):
+    hub, kinds, lost, left = failing.hub, [], [], [CLIENTS]
+
+    def ask(client: ThriftClient, me: int) -> None:
+        for number in range(ASKED):
+            try:
+                reply = client.ask(f"q {me} {number}", WITHIN, req=f"{me:08x}{number:08x}")
+                kinds.append(reply.kind)
+                assert reply.kind != "served" or reply.rows == ROWS
+            except (Closed, TimedOut, Refused) as why:
+                lost.append((me, number, repr(why)))
+                break
+        left[0] -= 1
+
+    def scene() -> None:
+        for me in range(CLIENTS):
+            hub.spawn(ask, failing.client("lookup"), me)
+        end = time.monotonic() + WITHIN
+        while left[0]:
+            assert time.monotonic() < end and failing.process.poll() is None, failing.log()[-3000:]
+            hub.sleep(0.05)
+        failing.process.send_signal(signal.SIGTERM)
+        while failing.process.poll() is None:
+            assert time.monotonic() < end, failing.log()[-3000:]
+            hub.sleep(0.05)
+
+    for engine in failing.engines:
+        engine.act = lambda statement: Act(after=0.01)
+    failing.start(SETTINGS)
+    play(hub, scene)
+    assert not lost, (lost, failing.log()[-3000:])
+    assert failing.process.returncode == 0 and "error:" not in failing.log(), failing.log()[-3000:]
+    assert kinds.count("served") > 0.9 * CLIENTS * ASKED, failing.log()[-3000:]
