Socket calls that fail for a moment end neither the program nor a connection nor a signal

Cause: errors that pass by themselves were taken for ends. `net/hub.py:Hub.round` let ENOMEM out of poll end the program; `net/conn.py` took ENOMEM of recv and ENOBUFS or ENOMEM of send for a broken connection, with all requests open on it lost, let an error of close (the descriptor is free all the same) skip what follows, and a failing setsockopt end the listener's task; `net/listener.py:drain` left the backlog, requests in it included, at the first EMFILE; `start.py` lost a signal, SIGTERM too, where the system had no memory for it, and its task at an error of recv. Change: these are tried again after 5 ms within the call's own time; a look that can't be had counts as if something lay there, so nothing is closed over it; what befell one waiting connection (accept(2): EPROTO, ENETDOWN, ...) passes to the next; draining goes on until the backlog is empty, and `Node.leave` waits for it; connect tells no memory as scarce and not as the engine's fault.

--- a/aspenrill/net/conn.py
+++ b/aspenrill/net/conn.py
@@ -1,6 +1,7 @@
 """A TCP connection with one bounded buffer a direction; every wait on it has its time."""
 from __future__ import annotations
 
+import contextlib
 import errno
 import select
 import socket
@@ -17,8 +18,13 @@
 LEAST_READ = 2048  # bytes asked for in one read; more after one that was filled, until few come
 MOST_PARTS = 512  # that one vectored write takes, well under IOV_MAX
 AGAIN = (BlockingIOError, InterruptedError)
+NO_MEMORY = (errno.ENOBUFS, errno.ENOMEM)  # of the system, for a moment: the connection is as it was
+MEMORY_PAUSE = 0.005  # seconds until such a call is tried again
+PEEKS = 5  # tries of a look at what has come
+UNSEEN = b"\0"  # what a look brings that cannot be had: as if something lay there
 ENDS = getattr(select, "POLLRDHUP", 0)  # also with bytes unread before the end; 0 where the system lacks it
-SCARCE = (errno.EADDRNOTAVAIL, errno.EAGAIN)  # no port, or no room in the system, for a connection just now
+SCARCE = (errno.EADDRNOTAVAIL, errno.EAGAIN, *NO_MEMORY)  # no port or room for a connection just now
+NO_SOCKET = (errno.EMFILE, errno.ENFILE, *NO_MEMORY)  # none is to be had just now
 
 
 class Refused(Exception):
@@ -48,12 +54,14 @@
     def __init__(self, hub: Hub, sock: socket.socket, ring: int = RING) -> None:
         self.hub, self.sock, self.fd = hub, sock, sock.fileno()
         sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        with contextlib.suppress(OSError):  # slower without, but as good
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.incoming, self.outgoing = Inbox(ring), Ring(ring)
         self.open = True
         self.shut = False  # our write side is: what still comes is discarded, never taken
         self.shut_at = 0.0
         self.over = False  # the other side's end has been read, or it broke
+        self.starved = False  # the system had no memory for the last write
         self.dry = False  # the last read took all there was: the next waits first
         self.grab = min(LEAST_READ, ring)
         self.reused = False  # for a pool: carried a call before
@@ -69,7 +77,8 @@
         if self.open:
             self.open = False
             self.hub.forget_fd(self.fd)
-            self.sock.close()
+            with contextlib.suppress(OSError):  # EINTR, EIO: the descriptor is free all the same
+                self.sock.close()
             self.incoming.clear()
             self.outgoing.clear()
 
@@ -107,8 +116,11 @@
                 except AGAIN:
                     self.hub.wait_fd(self.fd, READ, left(until))
                     continue
-                except OSError:
-                    break
+                except OSError as why:
+                    if why.errno not in NO_MEMORY:
+                        break
+                    self._pause(until)
+                    continue
                 left(until)
                 self.hub.give_way()  # a flood is not to starve the others
         except (Closed, TimedOut):
@@ -145,8 +157,10 @@
             except AGAIN:
                 count = -1  # the wait is not within the handler: its error would hold this for as long
             except OSError as why:
-                self.over = True
-                raise Closed(str(why)) from None
+                if why.errno not in NO_MEMORY:
+                    self.over = True
+                    raise Closed(str(why)) from None
+                count = -3
             if count > 0:
                 self.dry = count < asked
                 if count == asked:
@@ -154,11 +168,19 @@
                 elif count <= LEAST_READ and self.grab > LEAST_READ:
                     self.grab = LEAST_READ
                 return
+            if count == -3:
+                self._pause(until)
+                continue
             if count != -1:
                 self.over = not count
                 raise Closed("more than fits" if count else "end of stream")
             self.dry = True
 
+    def _pause(self, until: float | None) -> None:
+        """The system had no memory: until it may have some again."""
+        seconds = left(until)
+        self.hub.sleep(MEMORY_PAUSE if seconds is None else min(MEMORY_PAUSE, seconds))
+
     def read(self, count: int, until: float | None, pause: float | None = None) -> bytes:
         """Exactly so many bytes; also more than the ring holds. `pause`: seconds between two pieces."""
         if len(self.incoming) >= count:
@@ -221,27 +243,40 @@
         if not self.open or len(self.incoming):
             return False
         try:
-            self.sock.recv(1, socket.MSG_PEEK)
-        except AGAIN:
-            return True
+            return self._peek() is None
         except OSError:
             return False
-        return False
 
     def ended(self) -> bool | None:
         """Whether the other side has closed, as far as can be seen; None where something lies unread."""
         try:
-            return not self.sock.recv(1, socket.MSG_PEEK) or None
-        except AGAIN:
-            return False
+            seen = self._peek()
         except OSError:
             return True
+        return False if seen is None else not seen or None
+
+    def _peek(self) -> bytes | None:
+        """The next byte, which stays; b"" at the end, None where nothing has come; OSError where it broke."""
+        for _ in range(PEEKS):
+            try:
+                return self.sock.recv(1, socket.MSG_PEEK)
+            except BlockingIOError:
+                return None
+            except InterruptedError:
+                continue
+            except OSError as why:
+                if why.errno not in NO_MEMORY:
+                    raise
+        return UNSEEN
 
     def hung_up(self) -> bool:
         """Whether the other side has ended or reset it, also where bytes lie unread before its end."""
         look = select.poll()
         look.register(self.fd, ENDS)
-        return bool(look.poll(0))
+        try:
+            return bool(look.poll(0))
+        except OSError:
+            return False  # no memory for the look: its end will be read
 
     # ---- writing --------------------------------------------------------------------------------------
 
@@ -254,9 +289,15 @@
             count = self._send(self.outgoing.data())
             self.outgoing.drop(count)
             if not count:
-                self.hub.wait_fd(self.fd, WRITE, left(until))
+                self._wait_to_write(until)
         self.outgoing.rest()
 
+    def _wait_to_write(self, until: float | None) -> None:
+        if self.starved:
+            self._pause(until)  # poll would say at once that it can be written
+        else:
+            self.hub.wait_fd(self.fd, WRITE, left(until))
+
     def write_parts(self, parts: list[bytes], until: float | None) -> None:
         """As `write`, for parts that need not be joined: where the system takes all, none is copied."""
         rest = self.offer_parts(parts)
@@ -287,12 +328,16 @@
         """Hand it to the system; how many bytes it took, 0 where it takes none just now."""
         if not self.open:
             raise Closed("closed here")
+        self.starved = False
         try:
             count = call(data)
         except AGAIN:
             return 0
         except OSError as why:
-            raise Closed(str(why)) from None
+            if why.errno not in NO_MEMORY:
+                raise Closed(str(why)) from None
+            self.starved = True
+            return 0
         self.written += count
         return count
 
@@ -312,7 +357,7 @@
     try:
         sock = socket.socket(family_of(address[0]), socket.SOCK_STREAM)
     except OSError as why:
-        raise Refused(str(why), scarce=why.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS)) from None
+        raise Refused(str(why), scarce=why.errno in NO_SOCKET) from None
     conn = Connection(hub, sock, ring)
     conn.dry = True  # who is called speaks after we have
     try:
--- a/aspenrill/net/eventlog.py
+++ b/aspenrill/net/eventlog.py
@@ -47,6 +47,6 @@
 
 
 def _text(value: object) -> str:
-    """One word: spaces would end the value."""
+    """One word, in quotes where it has spaces."""
     text = f"{value:.3f}" if isinstance(value, float) else str(value)
-    return text.replace(" ", "_") or "-"
+    return f'"{text}"' if " " in text or not text else text
--- a/aspenrill/net/hub.py
+++ b/aspenrill/net/hub.py
@@ -24,6 +24,7 @@
 BEAT = 0.02  # seconds between two looks at how far behind the program is
 SPARE = 256  # workers kept without a task
 LATE = object()  # what a wait's timer brings
+POLL_PAUSE = 0.005  # seconds after a look at descriptors for which the system had no memory
 
 
 class TimedOut(Exception):
@@ -264,7 +265,7 @@
         if not ready and not self._later:
             due = self.timers.next_due()
             timeout = None if due is None else max(0.0, due - time.monotonic()) * 1000
-        for fd, got in self._poll.poll(timeout):
+        for fd, got in self._poll_once(timeout):
             self._happened(fd, got)
         self.timers.run_due()
         if self._later:
@@ -272,6 +273,15 @@
             for task, wait in later:
                 self.wake(task, wait)
 
+    def _poll_once(self, timeout: float | None) -> list[tuple[int, int]]:
+        """What has happened; nothing where the system has no memory for the wait (ENOMEM): that passes."""
+        try:
+            return self._poll.poll(timeout)
+        except OSError as why:
+            self.events.event("poll_failed", reason=why.strerror)
+            time.sleep(POLL_PAUSE)
+            return []
+
     def _call_soon(self) -> None:
         calls, self._soon = self._soon, []
         for call in calls:
--- a/aspenrill/net/listener.py
+++ b/aspenrill/net/listener.py
@@ -8,6 +8,7 @@
 """
 from __future__ import annotations
 
+import contextlib
 import errno
 import socket
 import time
@@ -18,12 +19,16 @@
 from .hub import READ, Closed, Hub, Signal, TimedOut
 
 BACKLOG = 512
+MOST_ACCEPTED = 2 * BACKLOG  # tries to empty the backlog before others have their turn
 BREATH = 0.05  # seconds until a listener that had no descriptor left tries again
 MUTE_FOR = 0.1  # seconds after which a connection that has said nothing may have to go
 REST_FOR = 4.5  # seconds after which a quiet one goes before any fresh one: usual clients close theirs sooner
 AT_ONCE = 16  # connections accepted before others have their turn
 LINGER_FOR = 1.0  # seconds that the other side has to end a connection which we have ended
 LEAST_LINGER = 0.1  # of them, where another connection needs the place: a request may cross the end for 0.05
+NEXT_ONE = (errno.ECONNABORTED, errno.EINTR, errno.EPROTO, errno.ENETDOWN, errno.ENOPROTOOPT, errno.EHOSTDOWN,
+            errno.ENONET, errno.EHOSTUNREACH, errno.EOPNOTSUPP, errno.ENETUNREACH, errno.EPERM)
+# what befell one connection that waited: accept(2) wants these treated as if there had been none
 ENDING_SHARE = 8  # one place in so many is for those that end: clients want a third of all, by the protocol
 
 
@@ -49,7 +54,8 @@
         if self.open:
             self.open = False
             self.hub.forget_fd(self.sock.fileno())
-            self.sock.close()
+            with contextlib.suppress(OSError):  # the descriptor is free all the same
+                self.sock.close()
 
     def drain(self) -> None:
         """No further connections but those that the backlog holds; each ends in order once nothing is open on
@@ -61,31 +67,48 @@
         for conn in list(self.connections):
             conn.draining = True
             conn.end_if_quiet()  # else its own task does, or who writes the last answer
-        while True:
+        if not self._empty_backlog():
+            self.hub.spawn(self._drain_backlog, name=f"{self.name} backlog")
+
+    def _empty_backlog(self) -> bool:
+        """Accept all that wait, and close; False where the system gives none just now."""
+        for _ in range(MOST_ACCEPTED):
             try:
                 self._take(self.sock.accept()[0])
-            except (InterruptedError, ConnectionAbortedError):
-                continue
             except BlockingIOError:
-                break
+                self.close()
+                return True
             except OSError as why:
-                self.hub.log(f"{self.name}: {why.strerror}; what waits to be accepted is left")
-                break
-        self.close()
+                if why.errno not in NEXT_ONE:
+                    self._log_failure(why)
+                    return False
+        return False
+
+    def _drain_backlog(self) -> None:
+        while self.open:
+            self.hub.sleep(BREATH)
+            if self.open and self._empty_backlog():
+                return
+
+    def _log_failure(self, why: OSError) -> None:
+        self.hub.events.event("accept_failed", front=self.name, reason=why.strerror)
 
     def _accept(self) -> None:
         accepted = 0
         while self.open:
             try:
                 sock = self.sock.accept()[0]
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+            except BlockingIOError:
                 try:
                     self.hub.wait_fd(self.sock.fileno(), READ, None)
                 except (Closed, TimedOut):
                     return
                 continue
             except OSError as why:
-                self.hub.log(f"{self.name}: {why.strerror}; accepting again shortly")
+                if why.errno in NEXT_ONE:
+                    self.hub.give_way()
+                    continue
+                self._log_failure(why)
                 if why.errno in (errno.EMFILE, errno.ENFILE):
                     self._make_room(full=True)
                 self.hub.sleep(BREATH)
--- a/aspenrill/node.py
+++ b/aspenrill/node.py
@@ -198,7 +198,8 @@
 
     def _drained(self, until: float) -> None:
         """Wait until no client has a connection any more, or that moment of the monotonic clock."""
-        while any(listener.connections for _, listener in self.fronts) and time.monotonic() < until:
+        while any(listener.open or listener.connections for _, listener in self.fronts) and (
+                time.monotonic() < until):
             self.hub.sleep(0.01)
 
 
--- a/aspenrill/start.py
+++ b/aspenrill/start.py
@@ -17,6 +17,10 @@
     from .node import Node
 
 
+SIGNAL_TRIES = 1000  # to pass a signal on to its task
+SIGNAL_PAUSE = 0.01  # seconds until a signal that could not be read is looked for again
+
+
 def say(text: str) -> None:
     """A log line. Where the log's disk is full it is lost, and the program goes on."""
     with contextlib.suppress(OSError):
@@ -30,17 +34,25 @@
     theirs.setblocking(False)
 
     def came(*_: Any) -> None:
-        try:
-            theirs.send(b"x")
-        except BlockingIOError:
-            pass  # many lie there unread: one more changes nothing
+        for _ in range(SIGNAL_TRIES):
+            try:
+                theirs.send(b"x")
+            except BlockingIOError:
+                return  # many lie there unread: one more changes nothing
+            except OSError:
+                continue  # no memory for it: a signal is not to be lost
+            return
 
     signal.signal(number, came)
 
     def wait() -> None:
         while True:
             hub.wait_fd(ours.fileno(), READ, None)
-            ours.recv(4096)
+            try:
+                ours.recv(4096)
+            except OSError:
+                hub.sleep(SIGNAL_PAUSE)
+                continue  # it still lies there
             try:
                 act()
             except Exception:
