A start, a new configuration and an accept wait for what the system lacks for a moment

`Node.listen` and the signals' socket pair ended a start with exit 2 where an address was still held, or no descriptor or memory was to be had; `read_config` let a SIGHUP be for nothing where no descriptor was left for its file, and a front end that goes on with a bulletin that has moved learns of no drain. Change: `net/scarcity.py:retry` tries such calls again, 5 s at a start and 1 s for a file that SIGHUP brings (there the hub goes on meanwhile); other errors, as a file that is not there, are told at once as before.

--- a/aspenrill/net/listener.py
+++ b/aspenrill/net/listener.py
@@ -39,10 +39,14 @@
                  most: int, name: str) -> None:
         self.hub, self.serve, self.most, self.name = hub, serve, most, name
         self.sock = socket.socket(family_of(address[0]), socket.SOCK_STREAM)
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.sock.setblocking(False)
-        self.sock.bind(address)
-        self.sock.listen(BACKLOG)
+        try:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            self.sock.setblocking(False)
+            self.sock.bind(address)
+            self.sock.listen(BACKLOG)
+        except OSError:
+            self.sock.close()
+            raise
         self.address = self.sock.getsockname()[:2]
         self.connections: dict[Connection, None] = {}
         self.open, self.draining = True, False
--- a/aspenrill/node.py
+++ b/aspenrill/node.py
@@ -23,6 +23,7 @@
 from .net.conn import Connection
 from .net.hub import Hub
 from .net.listener import Listener
+from .net.scarcity import READ_FOR, START_FOR, retry
 from .net.wallclock import watch_wall_clock
 from .roster.bulletin import Bulletin
 from .settings import settings_from
@@ -73,14 +74,16 @@
         raise ConfigError(f"{name}: expected ADDRESS:PORT, got {text!r}") from None
 
 
-def read_config(env: Mapping[str, str]) -> Config:
-    """The configuration that NODE_CONFIG names; ConfigError names the field that is wrong."""
+def read_config(env: Mapping[str, str], pause: Callable[[float], None] = time.sleep) -> Config:
+    """The configuration that NODE_CONFIG names; ConfigError names the field that is wrong.
+
+    `pause` waits between two tries where the system has no descriptor for the file.
+    """
     path = env.get("NODE_CONFIG")
     if not path:
         raise ConfigError("NODE_CONFIG: not set")
     try:
-        with open(path, encoding="utf-8") as file:
-            told = json.load(file)
+        told = json.loads(retry(lambda: Path(path).read_text(encoding="utf-8"), READ_FOR, pause))
     except (OSError, ValueError) as why:
         raise ConfigError(f"NODE_CONFIG: {why}") from None
     if not isinstance(told, dict):
@@ -164,7 +167,8 @@
     def listen(self, address: tuple[str, int], service: Any, name: str,
                share: float = CLIENT_SHARE) -> Listener:
         """Open a front."""
-        listener = Listener(self.hub, address, service.serve, int(self.sockets * share), name)
+        listener = retry(lambda: Listener(self.hub, address, service.serve, int(self.sockets * share), name),
+                         START_FOR)
         self.fronts.append((service, listener))
         return listener
 
@@ -233,7 +237,7 @@
     regroup = _fleet(hub, node, fleet_file, config.classes, config.tenants)
 
     def reread() -> None:
-        now = read_config(env)
+        now = read_config(env, hub.sleep)
         if (now.settings, now.listen, now.sockets) != (config.settings, config.listen, config.sockets):
             hub.log("configuration: settings, listen and limits take effect at the next start")
         if gathering is not None:
@@ -248,7 +252,7 @@
 def _enabled(path: Path) -> str | None:
     """The text of a file that switches something on; None where it is off, or not there."""
     try:
-        text = path.read_text(encoding="utf-8")
+        text = retry(lambda: path.read_text(encoding="utf-8"), READ_FOR)
         return text if tomllib.loads(text).get("enabled") is True else None
     except FileNotFoundError:
         return None
--- a/aspenrill/sidecar.py
+++ b/aspenrill/sidecar.py
@@ -2,7 +2,9 @@
 from __future__ import annotations
 
 import os
+import time
 from collections.abc import Callable
+from pathlib import Path
 from typing import Any
 
 from . import application
@@ -10,14 +12,14 @@
 from .fronts import tds
 from .gathering import Gathering
 from .net.hub import Hub
+from .net.scarcity import READ_FOR, retry
 from .node import ConfigError, Node
 
 
-def _application(path: str) -> application.Application:
-    """An application's file; ConfigError names its first fault."""
+def _application(path: str, pause: Callable[[float], None] = time.sleep) -> application.Application:
+    """An application's file; ConfigError names its first fault. `pause`: see `read_config`."""
     try:
-        with open(path, encoding="utf-8") as file:
-            app, faults = application.read(file.read())
+        app, faults = application.read(retry(lambda: Path(path).read_text(encoding="utf-8"), READ_FOR, pause))
     except (OSError, ValueError) as why:
         raise ConfigError(f"{path}: {why}") from None
     if app is None:
@@ -50,7 +52,7 @@
 
     def reread() -> None:
         nonlocal app
-        now = _application(path)
+        now = _application(path, hub.sleep)
         if (now.settings, now.kinds, now.listen, now.enabled) != (
                 app.settings, app.kinds, app.listen, app.enabled):
             raise ConfigError(f"{path}: only logins, sources, resolvers and their rules can change without a "
--- a/aspenrill/start.py
+++ b/aspenrill/start.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING, Any
 
 from .net.hub import READ, Hub
+from .net.scarcity import START_FOR, retry
 
 if TYPE_CHECKING:
     from .node import Node
@@ -29,7 +30,7 @@
 
 def on_signal(hub: Hub, number: int, act: Callable[[], None]) -> None:
     """Run `act` in a task each time the signal has come."""
-    ours, theirs = socket.socketpair()
+    ours, theirs = retry(socket.socketpair, START_FOR)
     ours.setblocking(False)
     theirs.setblocking(False)
 
--- a/standins/failingcalls.py
+++ b/standins/failingcalls.py
@@ -1,9 +1,10 @@
 """Runs a module whose socket calls fail now and then as Linux documents.
 
-    python -m standins.failingcalls SEED RATE MODULE [WORD...]
+    python -m standins.failingcalls SEED RATE start|serving MODULE [WORD...]
 
-Each call fails with chance RATE before it does anything, by an error of its page of the manual that passes by
-itself; reads and writes may also be short. Errors that end a connection are not among them: see the links.
+From its start, or once it serves, each call fails with chance RATE before it does anything, by an error of
+its page of the manual that passes by itself; reads and writes may also be short. Errors that end a connection
+are not among them.
 """
 from __future__ import annotations
 
@@ -26,9 +27,9 @@
 OPTION = (errno.ENOBUFS,)
 
 
-def install(seed: str, rate: float) -> None:
-    """Calls of this process fail once it accepts."""
-    rng, real, real_poll, up = random.Random(seed), socket.socket, select.poll, []
+def install(seed: str, rate: float, at_start: bool) -> None:
+    """Calls of this process fail, from now on or once it accepts."""
+    rng, real, real_poll, up = random.Random(seed), socket.socket, select.poll, [True] * at_start
 
     def unlucky() -> bool:
         return bool(up) and rng.random() < rate
@@ -97,10 +98,10 @@
 
 
 def main() -> None:
-    """Run the module as `python -m` would; calls begin to fail once it has started up."""
-    seed, rate = sys.argv[1], float(sys.argv[2])
-    sys.argv = sys.argv[3:]
-    install(seed, rate)
+    """Run the module as `python -m` would."""
+    seed, rate, when = sys.argv[1], float(sys.argv[2]), sys.argv[3]
+    sys.argv = sys.argv[4:]
+    install(seed, rate, when == "start")
     runpy.run_module(sys.argv[0], run_name="__main__", alter_sys=True)
 
 
--- a/tests/test_failing_calls.py
+++ b/tests/test_failing_calls.py
@@ -15,13 +15,13 @@
 from standins.scene import play
 from standins.world import ROWS, Act, ThriftClient
 
-RATE, CLIENTS, ASKED = 0.05, 6, 60  # of calls that fail; connections, and requests of each
+RATE, CLIENTS, ASKED = "0.05", 6, 60  # of calls that fail; connections, and requests of each
 SETTINGS = INFO | {"group_size": 1, "me": 0}
 
 
-@pytest.fixture(params=["1", "2", "3"])
+@pytest.fixture(params=[("1", RATE, "serving"), ("2", RATE, "serving"), ("3", RATE, "start")], ids="-".join)
 def failing(request, tmp_path: Path) -> Iterator[FrontEnd]:
-    made = FrontEnd(tmp_path, ("-m", "standins.failingcalls", request.param, str(RATE)))
+    made = FrontEnd(tmp_path, ("-m", "standins.failingcalls", *request.param))
     yield made
     made.stop()
 
