Eleven long files split by concern; voters tell when they begin to vote

Cause: a voter without a record votes only once the coordinator has admitted it, a lease after its own start; the tests killed the coordinator, or filled its disk, as soon as it had settled, sometimes before that, and of three voters one was left that could vote. No behaviour changes. A voter notes when it begins to vote, and the tests wait for all three to do so: they ask for no less after it than before.

--- a/aspenrill/core/owner.py
+++ b/aspenrill/core/owner.py
@@ -16,6 +16,7 @@
 from ..net.hub import Hub, Queue
 from . import books
 from .books import Attempt, Call, Failed, Final, Peer, Refused, Served
+from .enginelist import fitting, take_in
 from .requestlog import RequestLog
 
 UNREACHED = 3  # connections in a row that did not come up, from which an engine counts as not there
@@ -199,35 +200,9 @@
         for call in list(self.open.values()):
             self._final(call, Failed("ending"))
 
-    def _fitting(self, news: News) -> News:
-        """The news, or of a list longer than memory allows only what it says of engines that are known."""
-        new = sum(m.engine not in self.peers for m in news.members)
-        count = len(news.members) if news.whole else len(self.peers) + new
-        if not new or count <= self.most_engines:
-            return news
-        self.hub.log(f"list of {count} engines refused: memory allows {self.most_engines}; the last stays")
-        return News(news.number, False, tuple(m for m in news.members if m.engine in self.peers))
-
     def _on_news(self, news: News) -> None:
-        news = self._fitting(news)
-        retired: list[Peer] = []
-        for member in news.members:
-            known = self.peers.get(member.engine)
-            if known is None or known.address != member.address or member.started > known.started:
-                if known is not None:
-                    known.retired = True
-                    retired.append(known)
-                self.peers[member.engine] = Peer(member.engine, member.address, member.state, member.started)
-                continue
-            known.state = member.state
-            if not known.takes_work:
-                retired.append(known)
-        if news.whole:
-            named = {member.engine for member in news.members}
-            for engine, peer in self.peers.items():
-                if engine not in named:
-                    peer.state = api.EngineState.GONE
-                    retired.append(peer)
+        news = fitting(news, self.peers, self.most_engines, self.hub.log)
+        retired = take_in(news, self.peers)
         for peer in retired:  # all are marked by now: an error here sends nothing to an engine that drains
             try:
                 self.engines.retire(peer)
--- a/aspenrill/engines/http.py
+++ b/aspenrill/engines/http.py
@@ -10,9 +10,9 @@
 from ..net.address import show
 from ..net.conn import Connection, Refused, left
 from ..net.hub import Closed, Hub, TimedOut
-from ..settings import FIELDS
 from ..wire import Malformed, http1
 from .base import Engines, Over
+from .headers import meter, number
 from .pool import Pools
 
 SILENT = 1.5  # seconds for a request to be written
@@ -37,32 +37,6 @@
     """A call broke or stayed silent on its connection; the engine may have had it."""
 
 
-def meter(text: str | None, fields: tuple[str, ...]) -> tuple[float, ...] | None:
-    """A load report in the order of the settings; None where there is none or it cannot be read."""
-    if not text or not fields:
-        return None
-    told = {}
-    for part in text.split(";"):
-        at = part.find(":")
-        name = part[:at].strip()
-        name = FIELDS.get(name, name)
-        if at >= 0 and name in fields:
-            try:
-                told[name] = float(part[at + 1:])
-            except ValueError:
-                continue
-    return tuple([told.get(name, 0.0) for name in fields]) if told else None
-
-
-def number(headers: dict[str, str], name: str) -> float | None:
-    """A figure from a header, if it is there and finite."""
-    try:
-        value = float(headers[name])
-    except (KeyError, ValueError):
-        return None
-    return value if 0 <= value < 1e12 else None
-
-
 class HttpEngines(Engines):
     """Attempts, cancels, priorities and probes at HTTP engines."""
 
--- a/aspenrill/fleet/authority/voter.py
+++ b/aspenrill/fleet/authority/voter.py
@@ -13,7 +13,7 @@
 
 from collections.abc import Mapping
 
-from ..interface import Effect, Store
+from ..interface import Effect, Note, Store
 from .rules import WINDOW, Rules
 from .table import Change, Table
 from .wire import (
@@ -174,7 +174,7 @@
 
     def begin(self) -> list[Effect]:
         """Every other voter is without one too: the first start of all."""
-        return self._promise(Promise())
+        return [*self._promise(Promise()), Note("authority: a voter from now on, as no other has a record")]
 
     def admitted(self, who: str, admitted: Admitted) -> None:
         """By the coordinator; it takes effect with `join`."""
@@ -187,4 +187,5 @@
         if self.promise is not None or self.joining is None or self.upto(self.joining.epoch) < self.goal:
             return []
         self.until = now + self.rules.hold(self.rules.lease)
-        return self._promise(self.joining)
+        note = Note(f"authority: a voter from now on, admitted in epoch {self.joining.epoch}")
+        return [*self._promise(self.joining), note]
--- a/aspenrill/fleet/groups/part.py
+++ b/aspenrill/fleet/groups/part.py
@@ -12,8 +12,9 @@
 from dataclasses import dataclass, field
 
 from ..interface import Agreed, Authority, Effect, Entry, Member, Note, Put, State, Store, View
-from .counts import CountRules, Counts
+from .counts import Counts
 from .forecast import Forecast, ForecastRules, forecast
+from .hours import CountRules
 from .records import Ask, CallOff, Heard, Held, Message, Size, Split, Step, Tell, pack, read
 from .route import Router
 from .schedule import Outlook, Plan, Scheduler, ScheduleRules
--- a/aspenrill/fleet/groups/telling.py
+++ b/aspenrill/fleet/groups/telling.py
@@ -14,7 +14,8 @@
 import xxhash
 
 from ..interface import MOST_BODY, Effect, Member, Post
-from .counts import Counts, Key
+from .counts import Counts
+from .hours import Key
 from .records import Ask, Cell, Heard, Tell, pack
 
 
--- a/aspenrill/fleet/peers/node.py
+++ b/aspenrill/fleet/peers/node.py
@@ -8,14 +8,14 @@
 import math
 import random
 from collections import Counter
-from dataclasses import dataclass
 
 from msgspec import Raw
 
 from ...errors import NameTrouble, WireTrouble
-from ..interface import MOST_BODY, Entry, Member, Place, State
+from ..interface import MOST_BODY, Member, State
 from .board import Board
 from .detector import Detector, Pace
+from .events import Address, Event, Posted, Renamed, Self
 from .exchange import Exchange
 from .keys import Keys
 from .names import Names
@@ -40,7 +40,6 @@
     unseal,
 )
 
-Address = tuple[str, int]
 MOST_PIECES = 60  # of news, and of entries, in one datagram
 NOTICE = 0.4  # seconds between two times that one is told what is said of it
 SEEDS_EVERY = 10.0  # seconds between two looks at a seed by one that is not alone
@@ -50,39 +49,6 @@
 SMALL = 32  # members, up to which whole exchanges are as frequent as configured
 
 
-@dataclass(frozen=True, slots=True)
-class Self:
-    """What a process is told of itself at its start."""
-
-    name: str
-    incarnation: int
-    life: bytes
-    address: Address  # at which others reach it
-    place: Place = Place()
-    seeds: tuple[Address, ...] = ()
-
-
-@dataclass(frozen=True, slots=True)
-class Posted:
-    """Event: mail for a part."""
-
-    part: str
-    sender: str
-    incarnation: int
-    body: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class Renamed:
-    """Event: this process's own incarnation has changed, or it has stepped back (`trouble`) or is back."""
-
-    incarnation: int
-    trouble: NameTrouble | None = None
-
-
-Event = Member | Entry | Posted | Renamed
-
-
 class Peers:
     """The machine. Events come in the order in which things were learned."""
 
--- a/aspenrill/fleet/service.py
+++ b/aspenrill/fleet/service.py
@@ -14,9 +14,10 @@
 from .config import Config
 from .durable import Durable
 from .interface import Agreed, Effect, Entry, Inform, Member, Note, Part, Place, Post, Put, Store
+from .peers.events import Posted, Renamed, Self
 from .peers.keys import read_keys
 from .peers.link import Link
-from .peers.node import Peers, Posted, Renamed, Self
+from .peers.node import Peers
 from .peers.wire import LIFE
 
 LONGEST_WAIT = 0.1  # seconds between two looks at what is due
--- a/aspenrill/membership/engine.py
+++ b/aspenrill/membership/engine.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 
 from ..members import Member
+from ..net.address import show
 from .flaps import Damping, Flaps
 from .source import DRAINING, LIVE, Address, Source
 
@@ -42,6 +43,16 @@
         return replace(best[1], priority=stated[1].priority, weight=stated[1].weight)
 
 
+def free_id(member: Member, address: Address, ids: Mapping[str, Address],
+            engines: Mapping[Address, Engine]) -> str:
+    """The name of an engine at an address, as long as no other engine that is named has it."""
+    ident, number = member.engine, 1
+    while ids.get(ident, address) != address and ids[ident] in engines:
+        ident = f"{member.engine}@{show(address)}" + (f"#{number}" if number > 1 else "")
+        number += 1
+    return ident
+
+
 def explain(now: float, engines: Iterable[Engine], sources: Mapping[str, Source]
             ) -> list[tuple[Member, bool, str, list[str]]]:
     """Each engine: as it stands, whether it is in, why, and by whom it is named."""
--- a/aspenrill/membership/rule.py
+++ b/aspenrill/membership/rule.py
@@ -22,30 +22,15 @@
 import heapq
 from collections import OrderedDict
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass, field
 
 from ..api import EngineState
 from ..members import Member
 from ..net.address import show
-from .engine import Engine, explain
-from .flaps import Damping
-from .source import DRAINING, GONE, LIVE, STANDING, Address, Source, Spec, precedence
-from .tiers import TierRules, Tiers
-
-
-@dataclass(frozen=True, slots=True)
-class Rules:
-    """Seconds, and bounds. `restart`: out for that long, an engine may have restarted. `confirm`: until
-    the second look. `handover`: for how long a source that is configured no more is believed while new ones
-    come up."""
-
-    restart: float = 1.0
-    confirm: float = 2.0
-    handover: float = 30.0
-    remember: float = 600.0
-    most_engines: int = 20000
-    damping: Damping = field(default_factory=Damping)
-    tiers: TierRules = field(default_factory=TierRules)
+from .engine import Engine, explain, free_id
+from .once import Once
+from .rules import Rules
+from .source import DRAINING, GONE, LIVE, STANDING, Address, Source, Spec, places
+from .tiers import Tiers
 
 
 class Membership:
@@ -68,7 +53,7 @@
         self._news: dict[str, Member] = {}
         self._timers: list[tuple[float, int, str, Address | str]] = []
         self._count = 0
-        self._skipped: OrderedDict[tuple[str, str], None] = OrderedDict()
+        self._skipped = Once()
         self._broken: set[Address] = set()
         self.configure(now, specs)
 
@@ -108,7 +93,7 @@
         if source is None:
             return
         asked = now if asked is None else asked
-        new = self._places(source, members)
+        new = places(member for member in members if member.state is not GONE and self._may(source, member))
         missing = [address for address in source.said if address not in new]
         withdrawn = self._withdrawn(now, source, missing, asked)
         self._heard(now, source)
@@ -198,18 +183,6 @@
         self._hand_over(now)
         self._step(now)
 
-    def _places(self, source: Source, members: Iterable[Member]) -> dict[Address, Member]:
-        """A list by address; of two at one address the live one counts, then the lower priority, then the
-        later start, then the later in the list."""
-        found: dict[Address, Member] = {}
-        for member in members:
-            if member.state is GONE or not self._may(source, member):
-                continue
-            other = found.get(member.address)
-            if other is None or precedence(member) <= precedence(other):
-                found[member.address] = member
-        return found
-
     def _may(self, source: Source, member: Member) -> bool:
         if not self.allows(member.address[0]):
             self._skip(source, member)
@@ -226,13 +199,8 @@
                    f"skipped: the address is not allowed")
 
     def _once(self, source: Source, about: str, text: str) -> None:
-        key = source.spec.name, about
-        if key not in self._skipped:
+        if self._skipped.first((source.spec.name, about)):
             self.notes.append(text)
-        self._skipped[key] = None
-        self._skipped.move_to_end(key)
-        if len(self._skipped) > 4096:
-            self._skipped.popitem(last=False)
 
     def _withdrawn(self, now: float, source: Source, missing: list[Address], asked: float) -> list[Address]:
         """Which of those missing from a list are withdrawn by it."""
@@ -273,28 +241,20 @@
         if engine is None:
             engine = self.away.pop(address, None) or self.engines.get(address)
             if engine is None:
-                engine = Engine(self._id(member, address), address, self.rules.damping)
+                engine = Engine(free_id(member, address, self.ids, self.engines), address, self.rules.damping)
                 for other in self.sources.values():  # where it has taken another's place: who names that too
                     if address in other.said and other is not source:
                         engine.says[other.spec.name] = said = other.said[address]
                         if other.spec.names_ids:
                             engine.aliases[other.spec.name] = said.engine
             elif self.ids.get(engine.id) != address:  # its id has gone to another meanwhile
-                engine.id, engine.told = self._id(member, address), None
+                engine.id, engine.told = free_id(member, address, self.ids, self.engines), None
             self.engines[address], self.ids[engine.id] = engine, address
         engine.says[name] = member
         if source.spec.names_ids:
             engine.aliases[name] = member.engine
         self._judge(now, engine, source)
 
-    def _id(self, member: Member, address: Address) -> str:
-        """Its name, as long as no other engine that is named has it."""
-        ident, number = member.engine, 1
-        while self.ids.get(ident, address) != address and self.ids[ident] in self.engines:
-            ident = f"{member.engine}@{show(address)}" + (f"#{number}" if number > 1 else "")
-            number += 1
-        return ident
-
     def _replace(self, now: float, engine: Engine, source: Source) -> None:
         """Another engine is at its address: this one is gone, whoever named it."""
         self.notes.append(f"engine {engine.id} at {show(engine.address)}: another has its place, as "
--- a/aspenrill/membership/source.py
+++ b/aspenrill/membership/source.py
@@ -6,6 +6,7 @@
 """
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from ..api import EngineState
@@ -74,3 +75,14 @@
     """Of two at one address in one list the lower one counts: the live one, then the lower priority, then the
     heavier, then the later start."""
     return STANDING[member.state], member.priority, -(member.weight or 0.0), -member.started
+
+
+def places(members: Iterable[Member]) -> dict[Address, Member]:
+    """A list by address; of two at one address the live one counts, then the lower priority, then the later
+    start, then the later in the list."""
+    found: dict[Address, Member] = {}
+    for member in members:
+        other = found.get(member.address)
+        if other is None or precedence(member) <= precedence(other):
+            found[member.address] = member
+    return found
--- a/aspenrill/wire/tds.py
+++ b/aspenrill/wire/tds.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from . import Malformed
+from .tds_values import BYTE_LENGTH, FIXED, SHORT_LENGTH, TEXT, cell_text
 
 SQL_BATCH, RPC, REPLY, ATTENTION, LOGIN7, PRELOGIN = 1, 3, 4, 6, 16, 18
 END_OF_MESSAGE, IGNORE = 1, 2
@@ -20,12 +21,6 @@
 COLLATION = bytes.fromhex("0904d00034")
 NOT_SUPPORTED = 2  # encryption, as PRELOGIN has it
 
-FIXED = {0x1F: 0, 0x30: 1, 0x32: 1, 0x34: 2, 0x38: 4, 0x3A: 4, 0x3B: 4, 0x3C: 8, 0x3D: 8, 0x3E: 8, 0x7A: 4,
-         0x7F: 8}
-BYTE_LENGTH = {0x24, 0x26, 0x68, 0x6A, 0x6C, 0x6D, 0x6E, 0x6F, 0x28, 0x29, 0x2A, 0x2B}
-SHORT_LENGTH = {0xA5, 0xA7, 0xAD, 0xAF, 0xE7, 0xEF}
-TEXT = {0xA7, 0xAF, 0xE7, 0xEF}
-WHOLE = {0x30: "<B", 0x34: "<h", 0x38: "<i", 0x7F: "<q", 0x32: "<?", 0x3B: "<f", 0x3E: "<d"}
 
 
 # ---- packets ------------------------------------------------------------------------------------------
@@ -339,25 +334,6 @@
         return self._bytes(size) if size else None
 
 
-def cell_text(kind: int, data: bytes | None) -> str | None:
-    """A value as text; Malformed for types that have no plain one here."""
-    if data is None:
-        return None
-    if kind in (0xE7, 0xEF):
-        return data.decode("utf-16-le")
-    if kind in (0xA7, 0xAF):
-        return data.decode("cp1252")
-    if kind in WHOLE:
-        return str(struct.unpack(WHOLE[kind], data)[0])
-    if kind == 0x26:
-        return str(int.from_bytes(data, "little", signed=len(data) > 1))
-    if kind in (0x6D, 0x68):
-        form = {(0x6D, 4): "<f", (0x6D, 8): "<d", (0x68, 1): "<?"}.get((kind, len(data)))
-        if form:
-            return str(struct.unpack(form, data)[0])
-    raise Malformed(f"type {kind:#x} has no text here")
-
-
 def rows_as_text(data: bytes) -> list[list[str | None]]:
     """The rows of COLMETADATA and ROW tokens as texts."""
     reader = TokenReader(len(data) + 1)
--- a/benchmarks/sources.py
+++ b/benchmarks/sources.py
@@ -19,7 +19,8 @@
 from aspenrill.gathering import Gathering
 from aspenrill.members import Member
 from aspenrill.membership.flaps import Damping
-from aspenrill.membership.rule import Membership, Rules, Spec
+from aspenrill.membership.rule import Membership, Spec
+from aspenrill.membership.rules import Rules
 from aspenrill.net.hub import Hub
 from aspenrill.resolver.cache import Lifetimes
 from aspenrill.resolver.lookup import Patience
--- a/standins/groups.py
+++ b/standins/groups.py
@@ -5,7 +5,7 @@
 import random
 from collections.abc import Callable
 
-from aspenrill.fleet.groups.counts import CountRules
+from aspenrill.fleet.groups.hours import CountRules
 from aspenrill.fleet.groups.part import GroupRules, Groups
 from aspenrill.fleet.groups.records import Shape, Split, Step, read
 from aspenrill.fleet.groups.route import order, part_of
--- a/standins/peered.py
+++ b/standins/peered.py
@@ -12,8 +12,9 @@
 from aspenrill.errors import NameTrouble, WireTrouble
 from aspenrill.fleet.interface import Effect, Entry, Member, Part, Place, Post, Put
 from aspenrill.fleet.peers.detector import Pace
+from aspenrill.fleet.peers.events import Address, Event, Posted, Renamed, Self
 from aspenrill.fleet.peers.keys import Keys
-from aspenrill.fleet.peers.node import Address, Event, Peers, Posted, Renamed, Self
+from aspenrill.fleet.peers.node import Peers
 
 from .cluster import Cluster
 from .proc import Proc
--- a/standins/peersim.py
+++ b/standins/peersim.py
@@ -19,8 +19,9 @@
 from aspenrill.errors import WireTrouble
 from aspenrill.fleet.interface import Member, Place, State
 from aspenrill.fleet.peers.detector import Pace
+from aspenrill.fleet.peers.events import Renamed, Self
 from aspenrill.fleet.peers.keys import Keys
-from aspenrill.fleet.peers.node import Peers, Renamed, Self
+from aspenrill.fleet.peers.node import Peers
 
 KEY = b"k" * 32
 KEPT = 512  # datagrams that a paused process's socket keeps
--- a/standins/world.py
+++ b/standins/world.py
@@ -1,7 +1,6 @@
 """Stand-ins for clients and engines, Thrift and HTTP or TDS, in one process with the program under test."""
 from __future__ import annotations
 
-import struct
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -12,13 +11,14 @@
 from aspenrill.fronts import tds as tds_front
 from aspenrill.fronts import thrift as thrift_front
 from aspenrill.members import Member, News
-from aspenrill.net.conn import Connection, connect
+from aspenrill.net.conn import Connection
 from aspenrill.net.hub import Closed, Hub, TimedOut
 from aspenrill.net.listener import Listener
 from aspenrill.node import Node
-from aspenrill.wire import tds, thrift
+from aspenrill.wire import tds
 
 from . import scene as scenes
+from .clients import TdsClient, ThriftClient
 
 CLASSES = ["lookup", "booking", "once", "usage-report"]
 SPECS = (
@@ -42,14 +42,6 @@
     rows: list = field(default_factory=lambda: ROWS)
 
 
-@dataclass
-class Reply:
-    """What a client got."""
-
-    kind: str  # served, refused, failed, broken, cancelled
-    rows: list = field(default_factory=list)
-
-
 class Engine:
     """An engine: notes what began and what was given up, and how much runs at once."""
 
@@ -218,85 +210,6 @@
         conn.write(tds.packets(tds.REPLY, body), time.monotonic() + 5)
 
 
-class ThriftClient:
-    """A client of one class on one connection."""
-
-    def __init__(self, world: World, cls: str, timeout: float) -> None:
-        self.cls, self.timeout, self.seqid = cls, timeout, 0
-        self.conn = connect(world.hub, world.address, time.monotonic() + 2)
-        self.held: dict[int, Reply] = {}
-
-    def send(self, statement: str, **changed: str | None) -> None:
-        self.seqid += 1
-        fields = {"kind": self.cls, "req": f"{id(self) & 0xFFFFFF:08x}{self.seqid:08x}", "owner": "main",
-                  "timeout": str(int(self.timeout * 1000)), "opkey": "ab" * 16} | changed
-        fields = {k: v for k, v in fields.items() if v is not None}
-        body = (thrift.field(thrift.MAP, 1, thrift.text_map(fields))
-                + thrift.field(thrift.STRING, 2, thrift.blob(statement.encode())))
-        self.conn.write(thrift.frame(thrift.CALL, "serve", self.seqid, body), time.monotonic() + 5)
-
-    def read(self, within: float) -> Reply:
-        until = time.monotonic() + within
-        frame = self.conn.read(int.from_bytes(self.conn.read(4, until), "big"), until)
-        message = thrift.read_message(frame)
-        if message.kind == thrift.EXCEPTION:
-            return Reply("broken")
-        if 0 in message.args:
-            text = message.args[0][1].decode()
-            return Reply("served", [tuple(line.split("\t")) for line in text.split("\n")[:-1]])
-        return Reply("refused" if 1 in message.args else "failed")
-
-    def ask(self, statement: str, within: float = 10.0, **changed: str | None) -> Reply:
-        self.send(statement, **changed)
-        return self.read(within)
-
-    def cancel(self) -> None:
-        self.conn.write(thrift.frame(thrift.ONEWAY, "forget", 0, thrift.field(
-            thrift.I32, 1, struct.pack(">i", self.seqid))), time.monotonic() + 5)
-
-    def close(self) -> None:
-        self.conn.close()
-
-
-class TdsClient:
-    """A client whose login stands for a class."""
-
-    def __init__(self, world: World, cls: str, timeout: float) -> None:
-        self.user = cls if timeout >= 5 else f"{cls}-{timeout:g}"
-        self.conn = connect(world.hub, world.address, time.monotonic() + 2)
-        until = time.monotonic() + 5
-        self.conn.write(tds.packets(tds.PRELOGIN, tds.prelogin()), until)
-        read_packet(self.conn, until)
-        login = tds.Login(self.user, "test", packet=tds.LEAST_PACKET)
-        self.conn.write(tds.packets(tds.LOGIN7, tds.login7(login)), until)
-        read_packet(self.conn, until)
-
-    def send(self, statement: str) -> None:
-        self.conn.write(tds.packets(tds.SQL_BATCH, tds.sql_batch(statement), 512), time.monotonic() + 5)
-
-    def read(self, within: float) -> Reply:
-        until, reader, last = time.monotonic() + within, tds.TokenReader(1 << 20), False
-        while not last:
-            _, last, data = read_packet(self.conn, until)
-            reader.take(data)
-        answer = reader.answer
-        if answer.status & tds.ACKNOWLEDGED:
-            return Reply("cancelled")
-        if answer.error:
-            return Reply({50001: "refused", 50002: "failed"}.get(answer.error[0], "broken"))
-        return Reply("served", [tuple(row) for row in tds.rows_as_text(b"".join(answer.tokens))])
-
-    def ask(self, statement: str, within: float = 10.0) -> Reply:
-        self.send(statement)
-        return self.read(within)
-
-    def cancel(self) -> None:
-        self.conn.write(tds.packets(tds.ATTENTION, b""), time.monotonic() + 5)
-
-    def close(self) -> None:
-        self.conn.close()
-
-
 class World:
     """The program and its stand-ins in one hub; `run` plays a test as a task of it."""
 
--- a/tests/frontend.py
+++ b/tests/frontend.py
@@ -16,7 +16,8 @@
 from aspenrill.net.conn import Refused
 from aspenrill.net.hub import Hub
 from aspenrill.wire import bulletin as wire
-from standins.world import HttpEngine, ThriftClient
+from standins.clients import ThriftClient
+from standins.world import HttpEngine
 
 WITHIN = 60.0  # seconds of a machine that is busy; all holds much sooner
 
--- a/tests/merged.py
+++ b/tests/merged.py
@@ -7,7 +7,8 @@
 from aspenrill import sources as config
 from aspenrill.gathering import Gathering
 from aspenrill.membership.flaps import Damping
-from aspenrill.membership.rule import Rules, Spec
+from aspenrill.membership.rule import Spec
+from aspenrill.membership.rules import Rules
 from aspenrill.membership.tiers import TierRules
 from aspenrill.resolver.cache import Lifetimes
 from aspenrill.resolver.lookup import Patience
--- a/tests/test_both.py
+++ b/tests/test_both.py
@@ -8,7 +8,8 @@
 
 from aspenrill import api
 from aspenrill.core.books import Closing
-from standins.world import ROWS, SETTINGS, Act, Reply, World
+from standins.clients import Reply
+from standins.world import ROWS, SETTINGS, Act, World
 
 PROTOCOLS = pytest.mark.parametrize("protocol", ["thrift", "tds"])
 WIDE = [(str(i), "x" * 40, "end") for i in range(700)]  # several pages or packets, under 48,000 bytes
--- a/tests/test_clock_steps.py
+++ b/tests/test_clock_steps.py
@@ -11,9 +11,10 @@
 from test_release import INFO
 
 from aspenrill.net.conn import Connection
+from standins.clients import Reply, ThriftClient
 from standins.scene import play
 from standins.steppedclock import step_to
-from standins.world import Act, HttpEngine, Reply, ThriftClient
+from standins.world import Act, HttpEngine
 
 WINDOW = 1.0  # seconds in which engines know a repeat of a keyed request
 SLACK = 0.05  # that the protocol adds to each time limit
--- a/tests/test_cold_processes.py
+++ b/tests/test_cold_processes.py
@@ -25,8 +25,9 @@
 from aspenrill.net.conn import Refused
 from aspenrill.net.hub import Closed, Hub, TimedOut
 from aspenrill.wire import bulletin as wire
+from standins.clients import ThriftClient
 from standins.scene import play
-from standins.world import Act, HttpEngine, ThriftClient
+from standins.world import Act, HttpEngine
 
 FRONTS, ANEW, PAUSE = 20, range(0, 20, 3), 0.2  # front ends; those killed; seconds between two requests
 WORK, START, COLD, MULTIPLE, WINDOW = 0.05, 0.31, 12.0, 2.5, 1.5  # of a request in core-seconds; of the cold
--- a/tests/test_failing_calls.py
+++ b/tests/test_failing_calls.py
@@ -12,8 +12,9 @@
 
 from aspenrill.net.conn import Refused
 from aspenrill.net.hub import Closed, TimedOut
+from standins.clients import ThriftClient
 from standins.scene import play
-from standins.world import ROWS, Act, ThriftClient
+from standins.world import ROWS, Act
 
 RATE, CLIENTS, ASKED = "0.05", 6, 60  # of calls that fail; connections, and requests of each
 SETTINGS = INFO | {"group_size": 1, "me": 0}
--- a/tests/test_fleet_faults.py
+++ b/tests/test_fleet_faults.py
@@ -10,9 +10,10 @@
 
 from aspenrill.net.conn import Refused
 from aspenrill.net.hub import Hub
+from standins.clients import TdsClient
 from standins.fleet import Fleet
 from standins.scene import play
-from standins.world import TdsClient, TdsEngine
+from standins.world import TdsEngine
 
 
 @pytest.fixture
--- a/tests/test_fleet_parts.py
+++ b/tests/test_fleet_parts.py
@@ -4,16 +4,15 @@
 import json
 import re
 import resource
-import time
 from collections.abc import Iterator
 from pathlib import Path
 from types import SimpleNamespace
 
 import pytest
+from silentfront import Front
 
 from aspenrill import api
 from aspenrill.core import books
-from aspenrill.core.owner import Owner
 from aspenrill.errors import FleetConfigTrouble
 from aspenrill.fleet.config import read
 from aspenrill.fleet.feed import Feed
@@ -21,13 +20,12 @@
 from aspenrill.fleet.kept.policy import Policy, Rule
 from aspenrill.fleet.kept.store import Store
 from aspenrill.fleet.parts import Names, build
-from aspenrill.members import Member as Entry
-from aspenrill.members import News
 from aspenrill.net.hub import Hub
 from aspenrill.reader import Reader
+from standins.clients import TdsClient
 from standins.fleet import Fleet, Process
 from standins.scene import play
-from standins.world import TdsClient, TdsEngine
+from standins.world import TdsEngine
 
 LEASE = 1.0
 PARTS = {
@@ -70,12 +68,14 @@
 
 
 def settled(fleet: Fleet) -> str:
-    """Wait until one coordinates and has settled; who."""
+    """Wait until one coordinates and has settled, and all voters vote; who coordinates. A voter that has no
+    record yet can't stand in for one that is lost."""
     def one() -> bool:
         now = coordinators(fleet)
         return len(now) == 1 and any(f"authority settled {now[p]}" in fleet[p].text() for p in now)
 
     fleet.until(one, "one coordinates, settled")
+    fleet.until(lambda: all("a voter from now on" in fleet[name].text() for name in "abc"), "all voters vote")
     return next(iter(coordinators(fleet)))
 
 
@@ -253,46 +253,6 @@
 
 # ---- a front end's owner and its feed -----------------------------------------------------------------
 
-class Engines:
-    """Notes what is started; nothing answers."""
-
-    def __init__(self) -> None:
-        self.started: list = []
-
-    def start(self, attempt) -> None:
-        self.started.append(attempt)
-
-    def cancel(self, attempt) -> None: ...
-    def rank(self, attempt, priority) -> None: ...
-    def probe(self, peer) -> None: ...
-    def retire(self, peer) -> None: ...
-
-
-SPECS = (api.QueryClass(aim=1.0, patience=9.0, effect=api.Effect.SAFE, worth=2.0),
-         api.QueryClass(aim=1.0, patience=9.0, effect=api.Effect.SAFE, is_load=True))
-
-
-class Front:
-    """An owner with two engines, and what its clients were answered."""
-
-    def __init__(self) -> None:
-        self.hub, self.engines = Hub(print), Engines()
-        self.owner = Owner(self.hub, api.Settings(classes=SPECS, cores_by_kind=(8,)), 1, self.engines)
-        self.owner.take(News(1, True, tuple(
-            Entry(name, ("127.0.0.1", 1), api.EngineState.LIVE) for name in ("x", "y"))))
-        self.answers: list[tuple[str, object]] = []
-
-    def ask(self, ident: str, statement: bytes = b"select 1 from sales_17.t", cls: int = 0) -> books.Call:
-        call = books.Call(ident, cls, 0, statement, None, 17, time.monotonic(), 9.0,
-                          lambda call, final: self.answers.append((call.id, final)))
-        self.owner.take(books.Asked(call))
-        return call
-
-    def end(self, at: int, outcome: api.Outcome = api.Outcome.OK) -> None:
-        result = books.Result("text", (b"1\n",), (), 1) if outcome is api.Outcome.OK else None
-        self.owner.take(books.Ended(self.engines.started[at], outcome, result, 0.25))
-
-
 @pytest.fixture
 def front() -> Front:
     found = Front()
--- a/tests/test_fleet_peers.py
+++ b/tests/test_fleet_peers.py
@@ -9,7 +9,8 @@
 from msgspec import structs
 
 from aspenrill.fleet.interface import Entry, Member, State
-from aspenrill.fleet.peers.node import Peers, Posted
+from aspenrill.fleet.peers.events import Posted
+from aspenrill.fleet.peers.node import Peers
 from standins.peersim import PeerSim
 
 NOTICED, HEALED = 5.0, 30.0  # seconds within which a death is known to all, and a partition is over
--- a/tests/test_fleet_wire.py
+++ b/tests/test_fleet_wire.py
@@ -14,9 +14,10 @@
 from aspenrill.fleet.interface import Place, State
 from aspenrill.fleet.peers import wire
 from aspenrill.fleet.peers.detector import Pace
+from aspenrill.fleet.peers.events import Self
 from aspenrill.fleet.peers.exchange import Exchange, Seal
 from aspenrill.fleet.peers.keys import Keys, read_keys
-from aspenrill.fleet.peers.node import Peers, Self
+from aspenrill.fleet.peers.node import Peers
 from aspenrill.fleet.peers.rumours import Rumours
 
 OLD, NEW = b"o" * 32, b"n" * 32
--- a/tests/test_fronts.py
+++ b/tests/test_fronts.py
@@ -13,7 +13,8 @@
 from aspenrill.net.conn import connect
 from aspenrill.net.hub import Closed, TimedOut
 from aspenrill.wire import tds, thrift
-from standins.world import ROWS, SETTINGS, Act, Reply, World
+from standins.clients import Reply
+from standins.world import ROWS, SETTINGS, Act, World
 
 LONG = [(str(i), "y" * 200, "end") for i in range(2000)]
 
--- a/tests/test_groups_counts.py
+++ b/tests/test_groups_counts.py
@@ -8,7 +8,8 @@
 from hypothesis import strategies as st
 
 from aspenrill.fleet.groups import counts as module
-from aspenrill.fleet.groups.counts import CountRules, Counts, HourBook
+from aspenrill.fleet.groups.counts import Counts
+from aspenrill.fleet.groups.hours import CountRules, HourBook
 from aspenrill.fleet.groups.records import SEAL, Cell, Heard, Tell, pack, read
 from standins.faults import schedule
 from standins.groups import FIRST, Scene
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -12,7 +12,8 @@
 from aspenrill.net.conn import Refused
 from aspenrill.net.hub import Hub
 from aspenrill.wire import http1
-from standins.world import CLASSES, ROWS, SETTINGS, Act, Reply, World
+from standins.clients import Reply
+from standins.world import CLASSES, ROWS, SETTINGS, Act, World
 
 
 class Pools:
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -7,7 +7,8 @@
 import pytest
 
 from aspenrill.net.hub import Closed
-from standins.world import SETTINGS, SPECS, Act, ThriftClient, World
+from standins.clients import ThriftClient
+from standins.world import SETTINGS, SPECS, Act, World
 
 HANGS = Act(after=60.0)
 
--- a/tests/test_lingering.py
+++ b/tests/test_lingering.py
@@ -152,7 +152,7 @@
         taken, resting = world.client(), world.client()
         taken.send("select 1")
         world.until(lambda: world.engines[0].began)
-        monkeypatch.setattr("standins.world.connect", lambda hub, address, until: Connection(
+        monkeypatch.setattr("standins.clients.connect", lambda hub, address, until: Connection(
             hub, socket.create_connection(address)))  # as far as the backlog: nobody accepts meanwhile
         waiting = [world.client() for _ in range(10)]
         for client in waiting:
--- a/tests/test_path_many.py
+++ b/tests/test_path_many.py
@@ -14,8 +14,9 @@
 from aspenrill.fronts.thrift import Session
 from aspenrill.net.hub import Closed, Hub
 from aspenrill.wire import Malformed, thrift
+from standins.clients import Reply
 from standins.scene import play
-from standins.world import ROWS, SETTINGS, Act, Reply, World
+from standins.world import ROWS, SETTINGS, Act, World
 
 ROOMY = replace(SETTINGS, cores_by_kind=(64,))  # nothing is held for want of room
 
--- a/tests/test_ready.py
+++ b/tests/test_ready.py
@@ -22,8 +22,9 @@
 from aspenrill.net.listener import Listener
 from aspenrill.wire import bulletin as wire
 from aspenrill.wire import thrift
+from standins.clients import ThriftClient
 from standins.scene import play
-from standins.world import Act, HttpEngine, ThriftClient
+from standins.world import Act, HttpEngine
 
 WITHIN = 60.0  # seconds of a machine that is busy; all holds much sooner
 TICKS = os.sysconf("SC_CLK_TCK")
--- a/tests/test_release.py
+++ b/tests/test_release.py
@@ -14,8 +14,9 @@
 from aspenrill.net.listener import Listener
 from aspenrill.node import Node, platform
 from aspenrill.wire import bulletin as wire
+from standins.clients import ThriftClient
 from standins.scene import play
-from standins.world import Act, HttpEngine, ThriftClient
+from standins.world import Act, HttpEngine
 
 FRONTS, WORDS = 14, ("in_service", "terminating", "terminated")
 INFO = {"classes": [
--- a/tests/test_resolver.py
+++ b/tests/test_resolver.py
@@ -7,12 +7,13 @@
 import dns.message
 import dns.rrset
 import pytest
+from lookups import drive, record, reply_of, servers
 
 from aspenrill.net.hub import Hub
 from aspenrill.resolver.cache import Cache, Lifetimes, negative_ttl
 from aspenrill.resolver.client import Resolver
-from aspenrill.resolver.lookup import Failed, Heard, Patience, follow, look_up
-from aspenrill.resolver.servers import BACK_OFF_MOST, Servers
+from aspenrill.resolver.lookup import Failed, Patience, follow, look_up
+from aspenrill.resolver.servers import BACK_OFF_MOST
 from aspenrill.wire import dns as wire
 from standins.nameserver import Act, NameServer
 from standins.scene import play
@@ -22,10 +23,6 @@
 QUICK = Patience(question=0.3, lookup=2.0)
 
 
-def record(name: str, kind: int, data: object, ttl: int = 60) -> wire.Record:
-    return wire.Record(N(name), kind, ttl, data)
-
-
 # ---- what is fresh ------------------------------------------------------------------------------------
 
 @pytest.mark.parametrize("ttl, life", [(0, 1.0), (0.2, 1.0), (60, 60.0), (10**6, 3600.0)])
@@ -72,30 +69,6 @@
 
 # ---- whom to ask, when: a virtual clock ---------------------------------------------------------------
 
-def drive(steps, world, now=0.0):
-    """Play a look-up: `world` says how long each question takes and what comes of it."""
-    asks = []
-    try:
-        ask = next(steps)
-        while True:
-            asks.append((now, ask.server.address[1], ask.stream, wire.text_of(ask.name), ask.payload > 0))
-            took, reply = world(now, ask)
-            now = min(now + took, ask.until)
-            ask = steps.send(Heard(now, reply, "" if reply else "no answer in time"))
-    except StopIteration as end:
-        return end.value, asks, now
-    except Failed as why:
-        return why, asks, now
-
-
-def reply_of(ask, *rows, code=0, authority=(), **more):
-    return wire.Reply(1, code, more.pop("truncated", False), (ask.name, ask.kind), rows, authority, **more)
-
-
-def servers(count=3):
-    return Servers([("127.0.0.1", port) for port in range(1, count + 1)], random.Random(5))
-
-
 def test_servers_are_asked_in_order_and_those_that_fail_are_passed_by():
     some = servers()
 
--- a/tests/test_tool.py
+++ b/tests/test_tool.py
@@ -19,7 +19,8 @@
 from aspenrill.tool.__main__ import main
 from aspenrill.tool.template import TEMPLATE
 from aspenrill.wire import tds, thrift
-from standins.world import ROWS, HttpEngine, Reply, TdsClient
+from standins.clients import Reply, TdsClient
+from standins.world import ROWS, HttpEngine
 
 GOOD = TEMPLATE.replace("@NAME@", "billing").replace("@LISTEN@", "127.0.0.1:0")
 
