--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -52,17 +52,13 @@
 )
 
 from .faults import CALM, Link, Weather
-from .proc import Proc
+from .proc import Broken, Proc
 
 LOOK = 0.5  # seconds between two looks of a process at who is there
 SPREAD = 0.5  # seconds within which an entry goes to all that can be reached
 MOST_WAITING = 4000  # calls that a paused process finds when it goes on; what comes beyond is lost
 
 
-class Broken(AssertionError):
-    """A promise does not hold, or a part raised."""
-
-
 class Cluster:
     """The world. `now` is its own time in seconds, which no part gets to see."""
 
@@ -359,11 +355,7 @@
         return [other for other in self.procs.values() if other.up and other is not proc]
 
     def _reached(self, proc: Proc, other: Proc) -> bool:
-        a, b, net = proc.name, other.name, self.net
-        if not other.up or other.paused or not net.open(a, b) or not net.open(b, a):
-            return False
-        loss = 1 - (1 - net.rule(a, b).loss) * (1 - net.rule(b, a).loss)
-        return not loss or net.draw(a, b, "contact").random() >= loss
+        return other.up and not other.paused and self.net.reached(proc.name, other.name)
 
     def _learn(self, proc: Proc, member: Member) -> None:
         old = proc.known.get(member.name)
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -109,6 +109,13 @@
             stream = self._streams[a, b, concern] = random.Random(f"{self.seed}/{a}/{b}/{concern}")
         return stream
 
+    def reached(self, a: str, b: str) -> bool:
+        """Whether a question from A to B and its answer come through just now."""
+        if not self.open(a, b) or not self.open(b, a):
+            return False
+        loss = 1 - (1 - self.rule(a, b).loss) * (1 - self.rule(b, a).loss)
+        return not loss or self.draw(a, b, "contact").random() >= loss
+
     def fate(self, now: float, a: str, b: str, size: int) -> list[float]:
         """A datagram: seconds until each of its copies comes; none if it is lost."""
         link = self.rule(a, b)
--- a/standins/proc.py
+++ b/standins/proc.py
@@ -14,6 +14,10 @@
 FORGET = 60.0  # seconds that the dead stay known
 
 
+class Broken(AssertionError):
+    """A promise does not hold, or a part raised."""
+
+
 class Proc:
     """A process, and the view that its parts have."""
 
--- a/standins/purging.py
+++ b/standins/purging.py
@@ -31,6 +31,7 @@
 LEASE = 4.0  # seconds
 LOOKUP, LOAD = 0, 1
 TERM = 1.5  # seconds for which a coordinator coordinates without a majority
+NEAR = Link(delay_ms=1, jitter_ms=5)  # between any two processes, unless told otherwise
 LOOSE = 25  # steps between two looks at all stores where nothing has happened
 
 
@@ -269,7 +270,7 @@
 
 
 def build(seed: int, size: int, *, sites: int = 3, buildings: int = 2, groups: int = 4, rate: float = 1.0,
-          loads: float = 0.02, link: Link = Link(delay_ms=1, jitter_ms=5), garbage: float = 0.0,  # noqa: B008
+          loads: float = 0.02, link: Link = NEAR, garbage: float = 0.0,
           part: type[Purges] = Purges, store: type[Store] = Store, front: type[Kept] = Kept,
           waits: float = longest(LEASE)) -> tuple[Cluster, Truth]:
     """A fleet of so many processes that keep answers, under the checker. The classes may be planted
