--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 
 lint:
 	$(VENV)/bin/ruff check .
+	$(VENV)/bin/ruff format --check -q .
 
 # make run APP=billing.toml starts a sidecar; without APP a platform node, told by NODE_CONFIG
 run:
--- a/aspenrill/__main__.py
+++ b/aspenrill/__main__.py
@@ -1,4 +1,5 @@
 """Starts one real front end."""
+
 import sys
 
 from .start import main
--- a/aspenrill/adapter.py
+++ b/aspenrill/adapter.py
@@ -1,4 +1,5 @@
 """The bench's wire only: parse, translate to the interface's words, encode, loop."""
+
 from __future__ import annotations
 
 import json
@@ -12,18 +13,44 @@
 from .settings import settings_from
 
 NS = 1_000_000_000
-OUTCOMES = {"200": api.Outcome.OK, "500": api.Outcome.ERROR, "503": api.Outcome.FULL,
-            "504": api.Outcome.TIMEOUT, "502": api.Outcome.CONNECT_FAILED, "598": api.Outcome.RESET,
-            "499": api.Outcome.CANCELLED, "410": api.Outcome.MOOT}
+OUTCOMES = {
+    "200": api.Outcome.OK,
+    "500": api.Outcome.ERROR,
+    "503": api.Outcome.FULL,
+    "504": api.Outcome.TIMEOUT,
+    "502": api.Outcome.CONNECT_FAILED,
+    "598": api.Outcome.RESET,
+    "499": api.Outcome.CANCELLED,
+    "410": api.Outcome.MOOT,
+}
 STATES = {"live": api.EngineState.LIVE, "quiescing": api.EngineState.DRAINING, "dead": api.EngineState.GONE}
-MODES = {"changes": api.ListMode.CHANGES, "all": api.ListMode.COMPLETE,
-         "remembered": api.ListMode.REMEMBERED, "refused": api.ListMode.REFUSED}
+MODES = {
+    "changes": api.ListMode.CHANGES,
+    "all": api.ListMode.COMPLETE,
+    "remembered": api.ListMode.REMEMBERED,
+    "refused": api.ListMode.REFUSED,
+}
 RETRY_BIT = 2
 COST_BIT = 1
 # messages with the number of their values; the last one of BORN is text to the line's end
-WIDTHS = {"MARK": 2, "OVER_TO_YOU": 0, "ABOUT": 1, "BORN": 2, "CENSUS": 2, "UPDATE": 3, "WORK_ITEM": 9,
-          "DEADLINE_HIT": 1, "NOTE": 5, "GONE": 1, "VERDICT": 8, "HEARD": 2, "STARTED": 4,
-          "STATUS_BACK": 4, "HALT": 0, "M": 7}
+WIDTHS = {
+    "MARK": 2,
+    "OVER_TO_YOU": 0,
+    "ABOUT": 1,
+    "BORN": 2,
+    "CENSUS": 2,
+    "UPDATE": 3,
+    "WORK_ITEM": 9,
+    "DEADLINE_HIT": 1,
+    "NOTE": 5,
+    "GONE": 1,
+    "VERDICT": 8,
+    "HEARD": 2,
+    "STARTED": 4,
+    "STATUS_BACK": 4,
+    "HALT": 0,
+    "M": 7,
+}
 
 
 class WireError(Exception):
@@ -138,31 +165,50 @@
             flags = _either(v[5], "WORK_ITEM bitmap", _integer, 0)
             work = _either(v[7], "WORK_ITEM expected_ns", _seconds, None)
             return api.Request(
-                request=v[0], tenant=_either(v[1], "WORK_ITEM project", _integer, 0),
-                key=None if v[2] == "-" else v[2], patience=_seconds(v[3], "WORK_ITEM patience_left_ns"),
+                request=v[0],
+                tenant=_either(v[1], "WORK_ITEM project", _integer, 0),
+                key=None if v[2] == "-" else v[2],
+                patience=_seconds(v[3], "WORK_ITEM patience_left_ns"),
                 memory_mb=_either(v[4], "WORK_ITEM ram_mb", _number, 0.0),
-                cls=_integer(v[6], "WORK_ITEM kind"), work=work if flags & COST_BIT and work else None,
+                cls=_integer(v[6], "WORK_ITEM kind"),
+                work=work if flags & COST_BIT and work else None,
                 data_set=_either(v[8], "WORK_ITEM tables", lambda t, w: int(_number(t, w)), None),
-                client_retry=bool(flags & RETRY_BIT))
+                client_retry=bool(flags & RETRY_BIT),
+            )
         if name == "VERDICT":
             note = _either(v[6], "VERDICT stats", _integer, 0)
             return api.AttemptEnded(
-                request=v[0], attempt=_integer(v[1], "VERDICT n"), engine=v[2],
-                outcome=_word(v[3], "VERDICT status", OUTCOMES), latency=_seconds(v[4], "VERDICT lag_ns"),
-                closed=_bool(v[5], "VERDICT closed"), work=(note >> 12) / 1000 if note else None,
-                memory_mb=(note & 4095) * 4.0 if note else None, report=_report(v[7], "VERDICT pressure"))
+                request=v[0],
+                attempt=_integer(v[1], "VERDICT n"),
+                engine=v[2],
+                outcome=_word(v[3], "VERDICT status", OUTCOMES),
+                latency=_seconds(v[4], "VERDICT lag_ns"),
+                closed=_bool(v[5], "VERDICT closed"),
+                work=(note >> 12) / 1000 if note else None,
+                memory_mb=(note & 4095) * 4.0 if note else None,
+                report=_report(v[7], "VERDICT pressure"),
+            )
         if name == "NOTE":
             kinds = {str(k.value): k for k in api.NoteKind}
-            return api.AttemptNote(v[0], _integer(v[1], "NOTE n"), v[2], _word(v[3], "NOTE kind", kinds),
-                                   _number(v[4], "NOTE amount"))
+            return api.AttemptNote(
+                v[0],
+                _integer(v[1], "NOTE n"),
+                v[2],
+                _word(v[3], "NOTE kind", kinds),
+                _number(v[4], "NOTE amount"),
+            )
         if name == "GONE":
             return api.ClientGone(v[0])
         if name == "STARTED":
             _integer(v[1], "STARTED lag_ns")
             return api.StreamStarted(v[0], _integer(v[3], "STARTED n"), v[2])
         if name == "STATUS_BACK":
-            return api.ProbeEnded(v[0], _word(v[1], "STATUS_BACK status", OUTCOMES),
-                                  _seconds(v[2], "STATUS_BACK lag_ns"), _report(v[3], "STATUS_BACK pressure"))
+            return api.ProbeEnded(
+                v[0],
+                _word(v[1], "STATUS_BACK status", OUTCOMES),
+                _seconds(v[2], "STATUS_BACK lag_ns"),
+                _report(v[3], "STATUS_BACK pressure"),
+            )
         if name == "DEADLINE_HIT":
             return api.TimerDue(v[0])
         raise WireError(f"{name}: not expected here")
@@ -181,7 +227,7 @@
                 at += 1
                 if name == "CENSUS":
                     ref, count = _integer(v[0], "CENSUS ref"), _integer(v[1], "CENSUS items")
-                    rows = [self.split(row) for row in lines[at:at + count]]
+                    rows = [self.split(row) for row in lines[at : at + count]]
                     if len(rows) != count or any(row[0] != "M" for row in rows):
                         raise WireError(f"CENSUS: expected {count} M lines after it")
                     self.lists[ref] = tuple(self._entry(row[1]) for row in rows)
@@ -222,9 +268,13 @@
 
     def _entry(self, v: list[str]) -> api.EngineEntry:
         return api.EngineEntry(
-            engine=v[6], state=_word(v[0], "M readiness", STATES), zone=_either(v[1], "M zone", _integer, 0),
-            started=_either(v[2], "M ready_at_ns", _seconds, 0.0), kind=_either(v[4], "M kind", _integer, 0),
-            cell=_either(v[5], "M pack", _integer, 0))
+            engine=v[6],
+            state=_word(v[0], "M readiness", STATES),
+            zone=_either(v[1], "M zone", _integer, 0),
+            started=_either(v[2], "M ready_at_ns", _seconds, 0.0),
+            kind=_either(v[4], "M kind", _integer, 0),
+            cell=_either(v[5], "M pack", _integer, 0),
+        )
 
 
 def serve(stdin: TextIO, stdout: TextIO, stderr: TextIO) -> int:
--- a/aspenrill/api.py
+++ b/aspenrill/api.py
@@ -2,6 +2,7 @@
 
 All times are seconds (floats) on the caller's own clock, which never goes back.
 """
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field, fields
@@ -255,8 +256,18 @@
     """The gateway's program is about to end: every request gets its final answer now."""
 
 
-Event = (ListUpdate | Request | AttemptEnded | AttemptNote | StreamStarted | ClientGone | ProbeEnded
-         | TimerDue | PeerMessage | Closing)
+Event = (
+    ListUpdate
+    | Request
+    | AttemptEnded
+    | AttemptNote
+    | StreamStarted
+    | ClientGone
+    | ProbeEnded
+    | TimerDue
+    | PeerMessage
+    | Closing
+)
 
 
 @dataclass(slots=True)
--- a/aspenrill/application.py
+++ b/aspenrill/application.py
@@ -1,4 +1,5 @@
 """An application's file: where its front listens, whom it serves as what, where its engines come from."""
+
 from __future__ import annotations
 
 import tomllib
@@ -47,10 +48,13 @@
         aim=row.number("wanted_ms", None, 1, LONGEST) / 1000,
         patience=row.number("give_up_ms", None, 1, LONGEST) / 1000,
         effect=EFFECTS[row.choice("effect", tuple(EFFECTS), "repeatable")],
-        worth=row.number("worth", 1.0, 0.001), late_worth=row.number("late_worth", 0.0, 0, 1),
+        worth=row.number("worth", 1.0, 0.001),
+        late_worth=row.number("late_worth", 0.0, 0, 1),
         aim_stretch=row.number("stretch", 0.0, 0, 1000),
         dedup_window=row.number("repeat_window_ms", 0, 0, LONGEST) / 1000,
-        threads=int(row.number("threads", 1, 1, 1024)), is_load=row.flag("load", False))
+        threads=int(row.number("threads", 1, 1, 1024)),
+        is_load=row.flag("load", False),
+    )
     if spec.aim > spec.patience:
         row.fault("wanted_ms", "must not be beyond give_up_ms")
     if spec.effect is api.Effect.KEYED and not spec.dedup_window:
@@ -65,10 +69,14 @@
     if cls in classes and keyed[classes.index(cls)] and key == "none":
         row.fault("key", f"class {cls} repeats by key: comment or batch is wanted")
     tenant = row.choice("tenant", tenants) if tenants else ""
-    mapping = Mapping(row.text("user").lower(), row.text("app", "*").lower(),
-                      classes.index(cls) if cls in classes else 0,
-                      tenants.index(tenant) if tenant in tenants else 0,
-                      row.number("timeout_ms", None, 1, LONGEST) / 1000, key)
+    mapping = Mapping(
+        row.text("user").lower(),
+        row.text("app", "*").lower(),
+        classes.index(cls) if cls in classes else 0,
+        tenants.index(tenant) if tenant in tenants else 0,
+        row.number("timeout_ms", None, 1, LONGEST) / 1000,
+        key,
+    )
     row.end()
     return mapping
 
@@ -78,12 +86,15 @@
     row = top.table_of("engines")
     found: dict[str, Any] = {
         "user": row.text("user", "aspenrill"),
-        "app": row.text("app", "aspenrill"), "idle_for": row.number("idle_s", 30, 2, 86400),
-        "connect_for": row.number("connect_ms", 250, 1, 60000) / 1000}
+        "app": row.text("app", "aspenrill"),
+        "idle_for": row.number("idle_s", 30, 2, 86400),
+        "connect_for": row.number("connect_ms", 250, 1, 60000) / 1000,
+    }
     kinds = []
     for kind in row.tables("kind"):
-        kinds.append((kind.text("name"), int(kind.number("cores", None, 1, 100000)),
-                      kind.number("memory_mb", 0, 0)))
+        kinds.append(
+            (kind.text("name"), int(kind.number("cores", None, 1, 100000)), kind.number("memory_mb", 0, 0))
+        )
         kind.end()
     names = tuple(k[0] for k in kinds)
     unique(row, "kind", list(names))
@@ -96,12 +107,18 @@
         found["sources"] = sources.read(top, row, names)
         found["source"] = found["sources"].summary
     row.end()
-    return {**found, "kinds": names, "cores": tuple(k[1] for k in kinds),
-            "memory": tuple(k[2] for k in kinds)}
+    return {
+        **found,
+        "kinds": names,
+        "cores": tuple(k[1] for k in kinds),
+        "memory": tuple(k[2] for k in kinds),
+    }
 
 
-def read(text: str, platform: tuple[list[str], list[bool], list[str]] | None = None,
-         ) -> tuple[Application | None, list[str]]:
+def read(
+    text: str,
+    platform: tuple[list[str], list[bool], list[str]] | None = None,
+) -> tuple[Application | None, list[str]]:
     """The application of a file's text, or None, and all that is wrong with it, each fault by its field.
 
     `platform` names classes, which of them are keyed, and tenants where the file adds a front to a node.
@@ -151,12 +168,15 @@
         "start_capacity": rules.number("start_capacity", 0.3, 0.01, 1),
         "cold_for": rules.number("cold_ms", 12000, 0, LONGEST) / 1000,
         "fall_multiple": rules.number("fall_multiple", 2.5, 0.1, 100),
-        "fall_window": rules.number("fall_ms", 1500, 0, LONGEST) / 1000}
+        "fall_window": rules.number("fall_ms", 1500, 0, LONGEST) / 1000,
+    }
     settings_more["me"] = int(rules.number("front_end", 1, 1, settings_more["gateways"])) - 1
     rules.end()
     limits = top.table_of("limits")
-    memory, sockets = (int(limits.number("memory_mb", 192, 48, 1 << 20)),
-                       int(limits.number("sockets", 1024, 64, 1 << 20)))
+    memory, sockets = (
+        int(limits.number("memory_mb", 192, 48, 1 << 20)),
+        int(limits.number("sockets", 1024, 64, 1 << 20)),
+    )
     limits.end()
     fleet = top.raw("fleet", dict, {}, "a table")
     top.end()
@@ -164,11 +184,28 @@
         return None, faults
     if more["source"] != "platform":
         settings = api.Settings(
-            classes=tuple(c[1] for c in classes), cores_by_kind=more.pop("cores"), memory_by_kind=tuple(
-                m or float("inf") for m in more.pop("memory")), may_cancel=True, may_probe=True,
-            longest_come_back=2.0, tenant_quotas=tuple(t[1] for t in tenants),
-            **settings_more)
-    return Application(name, enabled, listen, answer_bytes, names, tenant_names, settings, tuple(logins),
-                       domain=domain, instance_host=host, memory_mb=memory, sockets=sockets,
-                       fleet=fleet if fleet.get("enabled") is True else None,
-                       **{k: v for k, v in more.items() if k not in ("cores", "memory")}), []
+            classes=tuple(c[1] for c in classes),
+            cores_by_kind=more.pop("cores"),
+            memory_by_kind=tuple(m or float("inf") for m in more.pop("memory")),
+            may_cancel=True,
+            may_probe=True,
+            longest_come_back=2.0,
+            tenant_quotas=tuple(t[1] for t in tenants),
+            **settings_more,
+        )
+    return Application(
+        name,
+        enabled,
+        listen,
+        answer_bytes,
+        names,
+        tenant_names,
+        settings,
+        tuple(logins),
+        domain=domain,
+        instance_host=host,
+        memory_mb=memory,
+        sockets=sockets,
+        fleet=fleet if fleet.get("enabled") is True else None,
+        **{k: v for k, v in more.items() if k not in ("cores", "memory")},
+    ), []
--- a/aspenrill/control.py
+++ b/aspenrill/control.py
@@ -1,4 +1,5 @@
 """All decisions of a gateway. Interface: aspenrill/api.py. What acts when, and why: docs/design.md."""
+
 import math
 import random
 from collections import deque
--- a/aspenrill/core/books.py
+++ b/aspenrill/core/books.py
@@ -1,4 +1,5 @@
 """The books: requests that are open, attempts that are out, engines by id. Plain records."""
+
 from __future__ import annotations
 
 import math
@@ -117,12 +118,18 @@
     @property
     def wanted(self) -> bool:
         """Still worth its first byte: client there, request open, time left, engine taking work."""
-        return (self.call.open and not self.call.gone and not self.cancelled
-                and time.monotonic() < min(self.until, self.begin_by) and self.peer.takes_work)
+        return (
+            self.call.open
+            and not self.call.gone
+            and not self.cancelled
+            and time.monotonic() < min(self.until, self.begin_by)
+            and self.peer.takes_work
+        )
 
 
 # ---- what reaches the owner's queue -------------------------------------------------------------------
 
+
 @dataclass(slots=True)
 class Asked:
     """A front has taken a request."""
--- a/aspenrill/core/enginelist.py
+++ b/aspenrill/core/enginelist.py
@@ -1,4 +1,5 @@
 """What news of the list does to the owner's records of engines."""
+
 from __future__ import annotations
 
 from collections.abc import Callable
--- a/aspenrill/core/owner.py
+++ b/aspenrill/core/owner.py
@@ -3,6 +3,7 @@
 Everything reaches it through its queue. It never waits for a socket: attempts, probes and answers are handed
 to tasks that do.
 """
+
 from __future__ import annotations
 
 import time
@@ -116,8 +117,16 @@
         if self.fleet is not None:
             self.fleet.asked(call)
         patience = call.deadline - time.monotonic()  # what waiting here has left of it
-        self._tell(api.Request(call.id, call.cls, max(0.0, patience), call.tenant,
-                               data_set=call.data_set, waited=self.hub.lag()))
+        self._tell(
+            api.Request(
+                call.id,
+                call.cls,
+                max(0.0, patience),
+                call.tenant,
+                data_set=call.data_set,
+                waited=self.hub.lag(),
+            )
+        )
 
     def _overtime(self, call: Call) -> None:
         self.queue.put(books.Expired(call))
@@ -142,8 +151,19 @@
                 self._final(call, Served(end.result))
             else:
                 outcome = api.Outcome.TIMEOUT
-        self._tell(api.AttemptEnded(call.id, attempt.number, attempt.peer.engine, outcome,
-                                    now - attempt.began, not call.open, end.work, end.memory_mb, end.report))
+        self._tell(
+            api.AttemptEnded(
+                call.id,
+                attempt.number,
+                attempt.peer.engine,
+                outcome,
+                now - attempt.began,
+                not call.open,
+                end.work,
+                end.memory_mb,
+                end.report,
+            )
+        )
         if freed is not None:
             for other in freed.served:
                 self._final(other, Served(end.result))
@@ -153,8 +173,9 @@
     def _on_note(self, note: books.Noted) -> None:
         attempt = note.attempt
         if attempt.call.open:
-            self._tell(api.AttemptNote(attempt.call.id, attempt.number, attempt.peer.engine, note.kind,
-                                       note.amount))
+            self._tell(
+                api.AttemptNote(attempt.call.id, attempt.number, attempt.peer.engine, note.kind, note.amount)
+            )
 
     def _on_left(self, left: books.Left) -> None:
         if left.call.open:
@@ -177,8 +198,14 @@
 
     def _on_unfit(self, asked: books.Unfit) -> None:
         engines = self.gateway.fleet.engines
-        asked.tell([name for name, peer in self.peers.items() if peer.takes_work and (
-            peer.unreached >= UNREACHED or name in engines and not engines[name].healthy)])
+        asked.tell(
+            [
+                name
+                for name, peer in self.peers.items()
+                if peer.takes_work
+                and (peer.unreached >= UNREACHED or name in engines and not engines[name].healthy)
+            ]
+        )
 
     def _on_probed(self, end: books.Probed) -> None:
         self._reached(end.peer, end.outcome)
@@ -212,9 +239,17 @@
         if news.whole:
             mode = api.ListMode.COMPLETE if self.listed else api.ListMode.REMEMBERED
         self.listed = True
-        self._tell(api.ListUpdate(mode, tuple(
-            api.EngineEntry(m.engine, m.state, m.kind, m.zone, m.cell, m.started, m.priority, m.weight)
-            for m in news.members)))
+        self._tell(
+            api.ListUpdate(
+                mode,
+                tuple(
+                    api.EngineEntry(
+                        m.engine, m.state, m.kind, m.zone, m.cell, m.started, m.priority, m.weight
+                    )
+                    for m in news.members
+                ),
+            )
+        )
         for engine, peer in list(self.peers.items()):
             if peer.state is api.EngineState.GONE and engine not in self.gateway.fleet.engines:
                 del self.peers[engine]
@@ -343,7 +378,19 @@
             for other in self.kept.closed(call, self.kept.clock()):
                 self._request(other)
 
-    _takers = {books.Asked: _on_asked, books.Ended: _on_ended, books.Noted: _on_note, books.Left: _on_left,
-               books.Expired: _on_expired, books.Probed: _on_probed, books.Due: _on_due,
-               books.Closing: _on_closing, books.Unfit: _on_unfit, books.Heard: _on_heard,
-               books.Tired: _on_tired, News: _on_news, api.ClientGone: _tell, api.AttemptEnded: _tell}
+    _takers = {
+        books.Asked: _on_asked,
+        books.Ended: _on_ended,
+        books.Noted: _on_note,
+        books.Left: _on_left,
+        books.Expired: _on_expired,
+        books.Probed: _on_probed,
+        books.Due: _on_due,
+        books.Closing: _on_closing,
+        books.Unfit: _on_unfit,
+        books.Heard: _on_heard,
+        books.Tired: _on_tired,
+        News: _on_news,
+        api.ClientGone: _tell,
+        api.AttemptEnded: _tell,
+    }
--- a/aspenrill/core/requestlog.py
+++ b/aspenrill/core/requestlog.py
@@ -1,4 +1,5 @@
 """What the log tells of requests: why each was refused, failed or repeated, and how attempts ended."""
+
 from __future__ import annotations
 
 import time
@@ -16,17 +17,30 @@
 
     def attempt_ended(self, attempt: Attempt, outcome: api.Outcome) -> None:
         """An attempt that brought no answer."""
-        self._events.event("attempt_ended", id=attempt.call.id, attempt=attempt.number,
-                           engine=attempt.peer.engine, outcome=outcome.value,
-                           age=time.monotonic() - attempt.began, client_gone=attempt.call.gone)
+        self._events.event(
+            "attempt_ended",
+            id=attempt.call.id,
+            attempt=attempt.number,
+            engine=attempt.peer.engine,
+            outcome=outcome.value,
+            age=time.monotonic() - attempt.began,
+            client_gone=attempt.call.gone,
+        )
 
     def attempt_repeated(self, call: Call, peer: Peer, begin_within: float) -> None:
         """One more attempt: how old the first one is, and the time that the module leaves for it."""
         spec = self._settings.classes[call.cls]
-        self._events.event("attempt_repeated", id=call.id, cls=call.cls, effect=spec.effect.value,
-                           attempt=call.sends, engine=peer.engine,
-                           first_sent_ago=time.monotonic() - call.first_sent_at,
-                           dedup_window=spec.dedup_window, begin_within=begin_within)
+        self._events.event(
+            "attempt_repeated",
+            id=call.id,
+            cls=call.cls,
+            effect=spec.effect.value,
+            attempt=call.sends,
+            engine=peer.engine,
+            first_sent_ago=time.monotonic() - call.first_sent_at,
+            dedup_window=spec.dedup_window,
+            begin_within=begin_within,
+        )
 
     def refused(self, call: Call, reason: api.EndReason | None) -> None:
         """A final answer that promises that trying again is harmless."""
@@ -37,5 +51,11 @@
         self._answered("request_failed", call, reason)
 
     def _answered(self, name: str, call: Call, reason: api.EndReason | None) -> None:
-        self._events.event(name, id=call.id, cls=call.cls, reason=reason.value if reason else "",
-                           age=time.monotonic() - call.arrived, attempts=call.sends)
+        self._events.event(
+            name,
+            id=call.id,
+            cls=call.cls,
+            reason=reason.value if reason else "",
+            age=time.monotonic() - call.arrived,
+            attempts=call.sends,
+        )
--- a/aspenrill/engines/base.py
+++ b/aspenrill/engines/base.py
@@ -1,4 +1,5 @@
 """What attempts have in common whatever their engine speaks: one end each, the last look, the giving up."""
+
 from __future__ import annotations
 
 import time
@@ -30,8 +31,9 @@
 class Engines:
     """Attempts, cancels and probes; ends and notes go to `post`. A protocol fills in `_carry` and `_stop`."""
 
-    def __init__(self, hub: Hub, pools: Pools, post: Callable[[Any], None],
-                 safe: frozenset[int] = frozenset()) -> None:
+    def __init__(
+        self, hub: Hub, pools: Pools, post: Callable[[Any], None], safe: frozenset[int] = frozenset()
+    ) -> None:
         self.hub, self.pools, self.post = hub, pools, post
         self.safe = safe  # classes whose requests may run again
 
@@ -105,8 +107,9 @@
         broken = 0
         while True:
             try:
-                conn = self.pools.take(attempt.peer, min(attempt.until, attempt.begin_by),
-                                       sure=attempt.call.cls not in self.safe)
+                conn = self.pools.take(
+                    attempt.peer, min(attempt.until, attempt.begin_by), sure=attempt.call.cls not in self.safe
+                )
             except Refused as why:
                 broken += why.broken
                 if why.broken and broken < AFRESH:
--- a/aspenrill/engines/headers.py
+++ b/aspenrill/engines/headers.py
@@ -1,4 +1,5 @@
 """Values of the headers that HTTP engines answer with."""
+
 from __future__ import annotations
 
 from ..settings import FIELDS
@@ -15,7 +16,7 @@
         name = FIELDS.get(name, name)
         if at >= 0 and name in fields:
             try:
-                told[name] = float(part[at + 1:])
+                told[name] = float(part[at + 1 :])
             except ValueError:
                 continue
     return tuple([told.get(name, 0.0) for name in fields]) if told else None
--- a/aspenrill/engines/http.py
+++ b/aspenrill/engines/http.py
@@ -1,4 +1,5 @@
 """Engines that speak HTTP/1.1: an attempt from its first byte to its last page."""
+
 from __future__ import annotations
 
 import time
@@ -40,10 +41,15 @@
 class HttpEngines(Engines):
     """Attempts, cancels, priorities and probes at HTTP engines."""
 
-    def __init__(self, hub: Hub, pools: Pools, settings: Settings, classes: list[str],
-                 post: Callable[[Any], None]) -> None:
-        super().__init__(hub, pools, post, frozenset(
-            at for at, spec in enumerate(settings.classes) if spec.effect is Effect.SAFE))
+    def __init__(
+        self, hub: Hub, pools: Pools, settings: Settings, classes: list[str], post: Callable[[Any], None]
+    ) -> None:
+        super().__init__(
+            hub,
+            pools,
+            post,
+            frozenset(at for at, spec in enumerate(settings.classes) if spec.effect is Effect.SAFE),
+        )
         self.settings, self.classes = settings, classes
 
     def rank(self, attempt: Attempt, priority: int) -> None:
@@ -84,8 +90,13 @@
             raise Over(outcome)
         result = self._pages(attempt, conn, head, body)
         work, memory = number(head.headers, "x-spent"), number(head.headers, "x-wanted")
-        raise Over(Outcome.OK, result=result, work=None if work is None else work / 1000, memory_mb=memory,
-                   report=meter(head.headers.get("x-meter"), self.settings.report_fields))
+        raise Over(
+            Outcome.OK,
+            result=result,
+            work=None if work is None else work / 1000,
+            memory_mb=memory,
+            report=meter(head.headers.get("x-meter"), self.settings.report_fields),
+        )
 
     def _spoilt(self, attempt: Attempt, why: Malformed) -> None:
         """Its answer cannot be read. The engine has it still, and is asked for it again."""
@@ -101,10 +112,14 @@
         head = peer.heads.get(call.cls)
         if head is None:
             head = peer.heads[call.cls] = http1.post_head(
-                "/data", self._host(peer), {"X-Queue": self.classes[call.cls]})
+                "/data", self._host(peer), {"X-Queue": self.classes[call.cls]}
+            )
         left_ms = max(1, int((attempt.until - time.monotonic()) * 1000))
-        return [head, http1.post(call.id, left_ms, attempt.priority, call.key, len(call.statement)),
-                call.statement]
+        return [
+            head,
+            http1.post(call.id, left_ms, attempt.priority, call.key, len(call.statement)),
+            call.statement,
+        ]
 
     def _again(self, attempt: Attempt) -> Connection:
         """Another connection, to ask for what is out there; Over where the engine is dead or deaf."""
@@ -138,8 +153,10 @@
             self.pools.drop(conn)
             raise Lost
         try:
-            conn.write(http1.request(method, path, self._host(attempt.peer), {}),
-                       min(attempt.until, time.monotonic() + SILENT))
+            conn.write(
+                http1.request(method, path, self._host(attempt.peer), {}),
+                min(attempt.until, time.monotonic() + SILENT),
+            )
             attempt.asked = time.monotonic()
         except (Closed, TimedOut) as why:
             self._log_lost(attempt, why)
@@ -178,8 +195,12 @@
         return head, body
 
     def _log_lost(self, attempt: Attempt, why: Exception) -> None:
-        self.hub.events.event("engine_connection_lost", id=attempt.call.id, engine=attempt.peer.engine,
-                              reason=str(why) or type(why).__name__)
+        self.hub.events.event(
+            "engine_connection_lost",
+            id=attempt.call.id,
+            engine=attempt.peer.engine,
+            reason=str(why) or type(why).__name__,
+        )
 
     def _leave(self, peer: Peer, conn: Connection) -> None:
         """Nobody waits for its answer any more; once that has come, the connection is good for another."""
@@ -299,8 +320,13 @@
         gone_at = attempt.asked + UNASKED
         while True:
             try:
-                self._one(attempt.peer, "DELETE", f"/data/{attempt.call.id}", time.monotonic() + DELETE_FOR,
-                          ends=TOLD)
+                self._one(
+                    attempt.peer,
+                    "DELETE",
+                    f"/data/{attempt.call.id}",
+                    time.monotonic() + DELETE_FOR,
+                    ends=TOLD,
+                )
                 return
             except Refused as why:
                 if self._gone(attempt, why):
@@ -314,8 +340,9 @@
 
     # ---- single calls ---------------------------------------------------------------------------------
 
-    def _one(self, peer: Peer, method: str, path: str, until: float, body: bytes = b"",
-             ends: tuple[int, ...] = ()) -> http1.Head:
+    def _one(
+        self, peer: Peer, method: str, path: str, until: float, body: bytes = b"", ends: tuple[int, ...] = ()
+    ) -> http1.Head:
         """A call that does no harm if made twice: again on a new connection where one breaks or is spoilt, or
         brings the answer to another call, which is none of `ends`."""
         for again in range(TRIES):
@@ -345,8 +372,14 @@
         if attempt.asked is None or attempt.cancelled:
             return  # its request will say so, or nobody cares any more
         try:
-            self._one(attempt.peer, "PUT", f"/data/{attempt.call.id}", time.monotonic() + PROBE_FOR,
-                      str(priority).encode(), TOLD)
+            self._one(
+                attempt.peer,
+                "PUT",
+                f"/data/{attempt.call.id}",
+                time.monotonic() + PROBE_FOR,
+                str(priority).encode(),
+                TOLD,
+            )
         except (Refused, Closed, TimedOut, Malformed):
             pass  # it keeps the priority it has
 
--- a/aspenrill/engines/pool.py
+++ b/aspenrill/engines/pool.py
@@ -1,4 +1,5 @@
 """Connections to engines: kept per engine, closed before the engine would, within a budget of descriptors."""
+
 from __future__ import annotations
 
 import time
@@ -40,8 +41,14 @@
 class Pools:
     """Takes and gives back connections; the idle ones lie with their engine's record."""
 
-    def __init__(self, hub: Hub, most: int, idle_for: float, connect_for: float,
-                 greet: Callable[[Connection, float], None] | None = None) -> None:
+    def __init__(
+        self,
+        hub: Hub,
+        most: int,
+        idle_for: float,
+        connect_for: float,
+        greet: Callable[[Connection, float], None] | None = None,
+    ) -> None:
         self.greet = greet  # what a new connection needs before its first request
         self.hub, self.most, self.idle_for, self.connect_for = hub, most, idle_for, connect_for
         self.count = 0
@@ -178,8 +185,12 @@
 
     def _another(self, peer: Peer, now: float, until: float) -> bool:
         """Whether to try another beside a slow one: there is room, and the last that was known is good."""
-        return (now < until and self.count < self.most and peer.dialing < MOST_DIALING
-                and self.well_at.get(peer, 0.0) > peer.failed_at)
+        return (
+            now < until
+            and self.count < self.most
+            and peer.dialing < MOST_DIALING
+            and self.well_at.get(peer, 0.0) > peer.failed_at
+        )
 
     def _unreached(self, peer: Peer, since: float) -> Refused:
         """None came up. That proves nothing of an engine that has been reached since."""
@@ -230,8 +241,11 @@
             return
         conn.used = self.well_at[peer] = time.monotonic()
         for line in (peer.waiting, self.waiting):
-            if line and not self.wary and self._wake(
-                    line, conn, lambda turn: turn.peer is peer and not turn.fresh):
+            if (
+                line
+                and not self.wary
+                and self._wake(line, conn, lambda turn: turn.peer is peer and not turn.fresh)
+            ):
                 return
         if self.waiting:  # for a descriptor, to reach other engines
             self.drop(conn)
--- a/aspenrill/engines/tds.py
+++ b/aspenrill/engines/tds.py
@@ -1,4 +1,5 @@
 """Engines that speak TDS: an attempt is one SQLBatch on a connection of its own while it runs."""
+
 from __future__ import annotations
 
 import socket
@@ -49,7 +50,7 @@
     """Opens a session on a new connection: PRELOGIN and LOGIN7, each answered in time."""
 
     def greet(conn: Connection, until: float) -> None:
-        keepalive = ((socket.SO_KEEPALIVE, 1), )
+        keepalive = ((socket.SO_KEEPALIVE, 1),)
         for option, value in keepalive:
             conn.sock.setsockopt(socket.SOL_SOCKET, option, value)
         for option, value in ((socket.TCP_KEEPIDLE, 1), (socket.TCP_KEEPINTVL, 1), (socket.TCP_KEEPCNT, 2)):
--- a/aspenrill/errors.py
+++ b/aspenrill/errors.py
@@ -3,6 +3,7 @@
 `docs/operations/errors.md` lists them; a test holds page and types together. Faults of single requests are no
 errors here: they end in the request's one final answer.
 """
+
 from __future__ import annotations
 
 from typing import ClassVar
--- a/aspenrill/fleet/authority/election.py
+++ b/aspenrill/fleet/authority/election.py
@@ -3,6 +3,7 @@
 asks in earnest, then reads the log of a majority. Who fails ends its own leases at once and waits a little
 longer.
 """
+
 from __future__ import annotations
 
 import random
@@ -20,8 +21,9 @@
 class Election:
     """Of one voter. `tenure` is the epoch that it asks for or coordinates in."""
 
-    def __init__(self, rules: Rules, name: str, life: int, voter: Voter, rng: random.Random,
-                 now: float) -> None:
+    def __init__(
+        self, rules: Rules, name: str, life: int, voter: Voter, rng: random.Random, now: float
+    ) -> None:
         self.rules, self.name, self.life, self.voter, self.rng = rules, name, life, voter, rng
         self.others = [other for other in rules.voters if other != name]
         self.tenure: Tenure | None = None
@@ -74,8 +76,14 @@
         """One round to all voters, itself the first: its own promise is on disk before the others hear."""
         tenure, rules = self.tenure, self.rules
         self.again_at = now + (rules.retry if tenure.won_at is None else rules.renew)
-        ask = Ask(tenure.epoch, self.life, tenure.next_round(now), rules.lease, tenure.sounding,
-                  self.voter.table.last)
+        ask = Ask(
+            tenure.epoch,
+            self.life,
+            tenure.next_round(now),
+            rules.lease,
+            tenure.sounding,
+            self.voter.table.last,
+        )
         effects = self._vote_for_itself(now, ask)
         if not tenure.said[self.name].granted:
             return self.fail(now)
@@ -94,8 +102,9 @@
     def _read_own(self) -> None:
         voter, tenure = self.voter, self.tenure
         entries = [voter.tail[number] for number in sorted(voter.tail)]
-        tenure.read(self.name, Tail(tenure.epoch, self.life, voter.table.last, voter.end, entries),
-                    voter.table.last)
+        tenure.read(
+            self.name, Tail(tenure.epoch, self.life, voter.table.last, voter.end, entries), voter.table.last
+        )
 
     def _advance(self, now: float) -> list[Effect]:
         """From sounding to asking once a majority would grant; to those that have granted: what have they?"""
@@ -228,5 +237,3 @@
             return []
         self.voter.admitted(sender, admitted)
         return self.voter.join(now)
-
-
--- a/aspenrill/fleet/authority/follow.py
+++ b/aspenrill/fleet/authority/follow.py
@@ -6,6 +6,7 @@
 then each asks one other at random, so nothing rests on any single message. Records do not change once
 agreed, so it does not matter whom they come from, how late or how often.
 """
+
 from __future__ import annotations
 
 import random
@@ -176,7 +177,7 @@
         return self._tree
 
     def _roots(self, tree: list[str]) -> list[str]:
-        return tree[:sum(name in self.rules.voters for name in tree[:len(self.rules.voters)])]
+        return tree[: sum(name in self.rules.voters for name in tree[: len(self.rules.voters)])]
 
     def _place(self) -> tuple[list[str], int, int] | None:
         """The tree, how many roots it has, and where this process is in it."""
@@ -198,4 +199,4 @@
         if (where := self._place()) is None:
             return []
         tree, roots, at = where
-        return tree[roots + at * FAN:roots + (at + 1) * FAN]
+        return tree[roots + at * FAN : roots + (at + 1) * FAN]
--- a/aspenrill/fleet/authority/part.py
+++ b/aspenrill/fleet/authority/part.py
@@ -8,6 +8,7 @@
 needs no disk, since it is on those of a majority, and a disk that fails must not keep a process from hearing
 of it.
 """
+
 from __future__ import annotations
 
 import random
@@ -219,8 +220,11 @@
                 return self._on_accept(now, sender, incarnation, message)
             case Acked():
                 tenure = election.tenure
-                if (tenure is not None and (message.epoch, message.life) == (tenure.epoch, tenure.life)
-                        and tenure.counts(sender, incarnation)):
+                if (
+                    tenure is not None
+                    and (message.epoch, message.life) == (tenure.epoch, tenure.life)
+                    and tenure.counts(sender, incarnation)
+                ):
                     tenure.acknowledged(sender, message.upto)
             case Admit():
                 return election.on_admit(now, sender, incarnation, message)
@@ -361,5 +365,3 @@
             return []
         self.board = None
         return [Put(NAME, b"")]
-
-
--- a/aspenrill/fleet/authority/rules.py
+++ b/aspenrill/fleet/authority/rules.py
@@ -1,4 +1,5 @@
 """What is configured of the authority, checked once; every process of a fleet is given the same."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass
--- a/aspenrill/fleet/authority/table.py
+++ b/aspenrill/fleet/authority/table.py
@@ -6,6 +6,7 @@
 MOST_ENDED of them the oldest is forgotten and `floor` moves up to it: who knows less than that takes the
 whole table.
 """
+
 from __future__ import annotations
 
 from bisect import bisect_right
@@ -62,13 +63,17 @@
         lost = [record for pair, record in self.latest.items() if pair not in keys and record.body]
         used = {record.number for record in records}
         free = (number for number in range(self.last + 1, floor + 1) if number not in used)
-        ends = [Record(number, old.epoch, old.kind, old.key, b"")
-                for old, number in zip(sorted(lost, key=lambda r: r.number), free, strict=False)]
+        ends = [
+            Record(number, old.epoch, old.kind, old.key, b"")
+            for old, number in zip(sorted(lost, key=lambda r: r.number), free, strict=False)
+        ]
         if to <= self.last or len(ends) < len(lost):
             return None
         change = Change(whole=True)
-        change.news = sorted([record for record in records if record.number > self.last] + ends,
-                             key=lambda record: record.number)
+        change.news = sorted(
+            [record for record in records if record.number > self.last] + ends,
+            key=lambda record: record.number,
+        )
         change.gone = [number for number in self._held if number not in used] + [end.number for end in ends]
         self.__init__()
         for record in records:
--- a/aspenrill/fleet/authority/tenure.py
+++ b/aspenrill/fleet/authority/tenure.py
@@ -5,6 +5,7 @@
 end (Gray and Cheriton, "Leases", 1989). The log is read from a majority whose leases are running at that
 moment.
 """
+
 from __future__ import annotations
 
 from .rules import Rules
--- a/aspenrill/fleet/authority/voter.py
+++ b/aspenrill/fleet/authority/voter.py
@@ -9,6 +9,7 @@
 the coordinator has handed it the log, or until every other voter has said that it never granted anything
 either.
 """
+
 from __future__ import annotations
 
 from collections.abc import Mapping
@@ -52,13 +53,17 @@
         the state is refused whole."""
         promise = decode_as(Promise, stored[PROMISE]) if PROMISE in stored else None
         commit = decode_as(Commit, stored[COMMIT]) if COMMIT in stored else Commit()
-        held = {int(key[1:]): decode_as(Accepted, value)
-                for key, value in stored.items() if key.startswith(RECORD)}
+        held = {
+            int(key[1:]): decode_as(Accepted, value)
+            for key, value in stored.items()
+            if key.startswith(RECORD)
+        }
         if any(number != entry.record.number for number, entry in held.items()):
             raise ValueError("a record is kept under another's number")
         void = set(commit.void)
-        agreed = [held[number].record for number in sorted(held)
-                  if number <= commit.number and number not in void]
+        agreed = [
+            held[number].record for number in sorted(held) if number <= commit.number and number not in void
+        ]
         self.table.apply(agreed, commit.number)
         self.table.floor = max(self.table.floor, commit.floor)
         number = commit.number + 1
@@ -146,7 +151,7 @@
         """What is accepted beyond `after`, as much as one message holds, under the promise as it is."""
         start = max(after, self.table.last) + 1
         entries = [self.tail[number] for number in range(start, self.end + 1)]
-        entries = entries[:fitting(entries, lambda entry: entry.record.size + 10)]
+        entries = entries[: fitting(entries, lambda entry: entry.record.size + 10)]
         return Tail(self.promise.epoch, self.promise.life, self.table.last, self.end, entries)
 
     def agreed(self, number: int, epoch: int) -> list[Record]:
--- a/aspenrill/fleet/authority/wire.py
+++ b/aspenrill/fleet/authority/wire.py
@@ -2,6 +2,7 @@
 
 `life` is an incarnation: of who asked, sent back to it, so that an answer to a former life is no answer.
 """
+
 from __future__ import annotations
 
 from typing import Annotated
@@ -178,7 +179,7 @@
     records: Annotated[list[Record], Meta(max_length=64)]
 
 
-Message = (Ask | Vote | Release | Read | Tail | Accept | Acked | Admit | Nothing | Admitted | Fetch | Chunk)
+Message = Ask | Vote | Release | Read | Tail | Accept | Acked | Admit | Nothing | Admitted | Fetch | Chunk
 ROOM = MOST_BODY - 60  # bytes for the records of one message
 
 encode = msgspec.msgpack.Encoder().encode
--- a/aspenrill/fleet/config.py
+++ b/aspenrill/fleet/config.py
@@ -1,4 +1,5 @@
 """The fleet's part of a configuration: `deploy/fleet.toml`, or `[fleet]` in an application's file."""
+
 from __future__ import annotations
 
 import re
@@ -80,13 +81,16 @@
         row.fault("suspect_least_ms", "must not be beyond suspect_most_ms")
     pace = Pace(
         period=row.number("period_ms", usual.period * 1000, 50, 60000) / 1000,
-        ack=row.number("ack_ms", usual.ack * 1000, 5, 60000) / 1000, suspect_least=least, suspect_most=most,
+        ack=row.number("ack_ms", usual.ack * 1000, 5, 60000) / 1000,
+        suspect_least=least,
+        suspect_most=most,
         gossip=row.number("gossip_ms", usual.gossip * 1000, 10, 60000) / 1000,
         fanout=int(row.number("fanout", usual.fanout, 1, 20)),
         sync=row.number("exchange_s", usual.sync, 1, 86400),
         reconnect=row.number("reconnect_ms", usual.reconnect * 1000, 100, 600000) / 1000,
         forget=row.number("forget_s", usual.forget, 10, 10 * 86400),
-        entries=row.number("entries_s", usual.entries, 5, 86400))
+        entries=row.number("entries_s", usual.entries, 5, 86400),
+    )
     row.end()
     return pace
 
@@ -101,12 +105,22 @@
     voters = top.texts("voters")
     unique(top, "voters", voters)
     config = Config(
-        enabled=top.flag("enabled", False), name=_name(top, "name"), fleet=_name(top, "fleet", "fleet"),
-        listen=listen, advertise=advertise, seeds=_addresses(top, "seeds"), key_file=top.text("key_file"),
-        state=top.text("state"), place=_place(top), voters=tuple(voters),
-        front_ends=int(top.number("front_ends", 1, 1, MOST_PEERS)), alone=top.number("alone", 0.5, 0, 1),
-        pace=_pace(top.table_of("times")), tables={name: top.table_of(name) for name in PARTS},
-        faults=top.faults)
+        enabled=top.flag("enabled", False),
+        name=_name(top, "name"),
+        fleet=_name(top, "fleet", "fleet"),
+        listen=listen,
+        advertise=advertise,
+        seeds=_addresses(top, "seeds"),
+        key_file=top.text("key_file"),
+        state=top.text("state"),
+        place=_place(top),
+        voters=tuple(voters),
+        front_ends=int(top.number("front_ends", 1, 1, MOST_PEERS)),
+        alone=top.number("alone", 0.5, 0, 1),
+        pace=_pace(top.table_of("times")),
+        tables={name: top.table_of(name) for name in PARTS},
+        faults=top.faults,
+    )
     top.end()
     return config
 
--- a/aspenrill/fleet/desk.py
+++ b/aspenrill/fleet/desk.py
@@ -8,6 +8,7 @@
     purge ID complete                of a purge that began here
     part 0.166667 of the whole       its share of the threads: a fall at once, a rise of a tenth
 """
+
 from __future__ import annotations
 
 from pathlib import Path
@@ -32,8 +33,10 @@
 
 def _tables(config: Config) -> dict[str, Any]:
     """Of the parts, but for what is read anew."""
-    return {name: {key: value for key, value in row.table.items() if key != "call_off"}
-            for name, row in config.tables.items()}
+    return {
+        name: {key: value for key, value in row.table.items() if key != "call_off"}
+        for name, row in config.tables.items()
+    }
 
 
 class Desk:
--- a/aspenrill/fleet/durable.py
+++ b/aspenrill/fleet/durable.py
@@ -2,6 +2,7 @@
 
 Write-ahead log, synchronous=FULL: `put` returns once the record is on disk. A damaged file is refused whole.
 """
+
 from __future__ import annotations
 
 import fcntl
@@ -53,9 +54,11 @@
             layout = self._db.execute("PRAGMA user_version").fetchone()[0]
             if layout not in (0, LAYOUT):
                 raise StateTrouble(f"{path}: of layout {layout}, {LAYOUT} is known here")
-            self._db.execute("CREATE TABLE IF NOT EXISTS records (part TEXT NOT NULL, key TEXT NOT NULL, "
-                             "value BLOB NOT NULL, sum INTEGER NOT NULL, PRIMARY KEY (part, key)) "
-                             "WITHOUT ROWID")
+            self._db.execute(
+                "CREATE TABLE IF NOT EXISTS records (part TEXT NOT NULL, key TEXT NOT NULL, "
+                "value BLOB NOT NULL, sum INTEGER NOT NULL, PRIMARY KEY (part, key)) "
+                "WITHOUT ROWID"
+            )
             self._db.execute(f"PRAGMA user_version={LAYOUT}")
             for part, key, value, total in self._db.execute("SELECT part, key, value, sum FROM records"):
                 if _sum(part, key, value) != total:  # the check above looks at the structure only
@@ -68,8 +71,10 @@
     def records(self, part: str) -> dict[str, bytes]:
         """All that is kept for a part."""
         try:
-            return {key: bytes(value) for key, value in self._db.execute(
-                "SELECT key, value FROM records WHERE part = ?", (part,))}
+            return {
+                key: bytes(value)
+                for key, value in self._db.execute("SELECT key, value FROM records WHERE part = ?", (part,))
+            }
         except sqlite3.DatabaseError as why:
             raise StateTrouble(f"{self.folder / FILE}: {why}") from None
 
@@ -79,8 +84,10 @@
             if value is None:
                 self._db.execute("DELETE FROM records WHERE part = ? AND key = ?", (part, key))
             else:
-                self._db.execute("INSERT OR REPLACE INTO records VALUES (?, ?, ?, ?)",
-                                 (part, key, value, _sum(part, key, value)))
+                self._db.execute(
+                    "INSERT OR REPLACE INTO records VALUES (?, ?, ?, ?)",
+                    (part, key, value, _sum(part, key, value)),
+                )
         except sqlite3.Error as why:
             raise DiskTrouble(f"{self.folder / FILE}: {why}") from None
 
--- a/aspenrill/fleet/feed.py
+++ b/aspenrill/fleet/feed.py
@@ -3,6 +3,7 @@
 The owner calls `asked`, `refused`, `probed` and `ended`, which only count; twice a second `Feed.turn` hands
 on what has come together, and reads the module's public attributes.
 """
+
 from __future__ import annotations
 
 import time
@@ -51,8 +52,12 @@
         call, groups = end.attempt.call, self.parts.groups
         if groups is None or call.data_set is None or not self.owner.settings.classes[call.cls].is_load:
             return
-        groups.count(call.data_set, end.result.rows if end.result is not None else 0, len(call.statement),
-                     round(1000 * (end.work or 0.0)))
+        groups.count(
+            call.data_set,
+            end.result.rows if end.result is not None else 0,
+            len(call.statement),
+            round(1000 * (end.work or 0.0)),
+        )
 
     # ---- twice a second -------------------------------------------------------------------------------
 
@@ -72,9 +77,14 @@
         self._probed.clear()
         self._out = out
         if self.parts.groups is not None:
-            self.parts.groups.tell(now, GroupFacts(
-                gateway.rung > 0, len(out) > OUTAGE * len(gateway.live),
-                tuple(sorted(e.entry.engine for e in gateway.live))))
+            self.parts.groups.tell(
+                now,
+                GroupFacts(
+                    gateway.rung > 0,
+                    len(out) > OUTAGE * len(gateway.live),
+                    tuple(sorted(e.entry.engine for e in gateway.live)),
+                ),
+            )
 
     def _demand(self, now: float) -> None:
         gateway = self.owner.gateway
@@ -88,8 +98,12 @@
         self._asked.clear()
         self._refused.clear()
         waiting = {query.ask.cls for query in gateway.held.values()}
-        self.bridge.state(sum(learned.threads for learned in gateway.classes), gateway.ordinary, gateway.rung,
-                          max((worth[cls] / max(1e-3, work[cls]) for cls in waiting), default=0.0))
+        self.bridge.state(
+            sum(learned.threads for learned in gateway.classes),
+            gateway.ordinary,
+            gateway.rung,
+            max((worth[cls] / max(1e-3, work[cls]) for cls in waiting), default=0.0),
+        )
 
     def _list(self) -> None:
         """The list, where it has changed or an engine is no longer cold."""
--- a/aspenrill/fleet/groups/change.py
+++ b/aspenrill/fleet/groups/change.py
@@ -5,6 +5,7 @@
 strongest jump counts. Without noise a trend jumps by little from one week to the next, so a jump must be
 large in itself too.
 """
+
 from __future__ import annotations
 
 from collections.abc import Sequence
@@ -31,8 +32,8 @@
     while True:
         best, best_at = DEVIATIONS, None
         for at in range(found + least, len(days) - least + 1):
-            before = [v for v in days[max(found, at - WINDOW):at] if v is not None]
-            after = [v for v in days[at:at + WINDOW] if v is not None]
+            before = [v for v in days[max(found, at - WINDOW) : at] if v is not None]
+            after = [v for v in days[at : at + WINDOW] if v is not None]
             if len(before) < least or len(after) < least:
                 continue
             # the steepest step between neighbours in time marks the day
--- a/aspenrill/fleet/groups/counts.py
+++ b/aspenrill/fleet/groups/counts.py
@@ -9,6 +9,7 @@
 its origin. A later value of an origin not folded re-opens the hour as a revision. Hours are of UTC, since
 1970.
 """
+
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator
@@ -89,8 +90,9 @@
         """The key, where it was news."""
         if (cell.origin, cell.incarnation) == self.me:
             return None  # only this process counts for itself
-        return self._put((cell.origin, cell.incarnation), cell.group, cell.hour,
-                         (cell.rows, cell.bytes, cell.work))
+        return self._put(
+            (cell.origin, cell.incarnation), cell.group, cell.hour, (cell.rows, cell.bytes, cell.work)
+        )
 
     def _put(self, origin: Origin, group: int, hour: int, value: Value) -> Key | None:
         """The larger value; None where that changes nothing, is too old, or is more than is kept."""
@@ -168,8 +170,12 @@
                 self.changed.add(hour)
                 self._learn(book)
                 book.lack = self._lack({name for name, _ in book.missing()}) if looked else 1.0
-            if book.closed and book.told and age >= self.rules.detail and (
-                    hour not in held or age > self.rules.closing):
+            if (
+                book.closed
+                and book.told
+                and age >= self.rules.detail
+                and (hour not in held or age > self.rules.closing)
+            ):
                 self._fold(book, age > self.rules.late)
         return anew
 
@@ -214,9 +220,12 @@
         if not self.hours:
             return self.hour, []
         first = min(self.hours)
-        return first, [self.hours[h].totals().get(group, NONE)[field_] / (1 - self.hours[h].lack)
-                       if self.heard(h) else None
-                       for h in range(first, self.hour)]
+        return first, [
+            self.hours[h].totals().get(group, NONE)[field_] / (1 - self.hours[h].lack)
+            if self.heard(h)
+            else None
+            for h in range(first, self.hour)
+        ]
 
     # ---- out of and into other processes and lives ----------------------------------------------------
 
@@ -261,20 +270,25 @@
         cells = [Cell("", book.adopted, g, hour, *v) for g, v in book.total.items()]
         cells += [Cell(*o, g, hour, *v) for o, t in book.told.items() if o[0] for g, v in t.groups.items()]
         cells += [Cell(*o, SEAL, hour, *t.seal) for o, t in book.told.items() if o[0] and t.seal]
-        return pack(Kept(1, hour, book.revision, tuple(sorted(book.folded)),
-                         tuple(sorted(book.expected)), tuple(cells)))
+        return pack(
+            Kept(
+                1, hour, book.revision, tuple(sorted(book.folded)), tuple(sorted(book.expected)), tuple(cells)
+            )
+        )
 
     def restore(self, body: bytes) -> int | None:
         """An hour from the disk; None where it is damaged or too old."""
         kept = read(body, Kept)
         if kept is None or not self.hour - self.rules.kept <= kept.hour <= self.hour:
             return None
-        book = self.hours[kept.hour] = HourBook(folded=set(kept.folded), expected=set(kept.expected),
-                                                 revision=kept.revision)
+        book = self.hours[kept.hour] = HourBook(
+            folded=set(kept.folded), expected=set(kept.expected), revision=kept.revision
+        )
         for cell in kept.cells:
             if cell.origin or cell.group == SEAL:
-                self._put((cell.origin, cell.incarnation), cell.group, cell.hour,
-                          (cell.rows, cell.bytes, cell.work))
+                self._put(
+                    (cell.origin, cell.incarnation), cell.group, cell.hour, (cell.rows, cell.bytes, cell.work)
+                )
             else:
                 book.total[cell.group] = (cell.rows, cell.bytes, cell.work)
                 book.adopted = cell.incarnation
@@ -283,9 +297,12 @@
 
     def life(self) -> bytes:
         """Own counters that no keeper may have yet, for the next life."""
-        cells = tuple(Cell(*self.me, g, h, *v) for h in range(self.hour - self.rules.closing, self.hour + 1)
-                      if h in self.hours and self.me in self.hours[h].told
-                      for g, v in self.hours[h].told[self.me].groups.items())
+        cells = tuple(
+            Cell(*self.me, g, h, *v)
+            for h in range(self.hour - self.rules.closing, self.hour + 1)
+            if h in self.hours and self.me in self.hours[h].told
+            for g, v in self.hours[h].told[self.me].groups.items()
+        )
         return pack(Life(1, self.me[1], self.hour, cells))
 
     def relive(self, body: bytes) -> list[Key]:
@@ -294,8 +311,11 @@
         if life is None or life.incarnation >= self.me[1]:
             return []
         former = self.me[0], life.incarnation
-        keys = [self._put(former, c.group, c.hour, (c.rows, c.bytes, c.work)) for c in life.cells
-                if (c.origin, c.incarnation) == former]
+        keys = [
+            self._put(former, c.group, c.hour, (c.rows, c.bytes, c.work))
+            for c in life.cells
+            if (c.origin, c.incarnation) == former
+        ]
         first = min((c.hour for c in life.cells), default=life.hour)
         for hour in range(max(first, self.hour - self.rules.closing), self.hour + 1):
             keys += self.seal_for(former, hour)
--- a/aspenrill/fleet/groups/forecast.py
+++ b/aspenrill/fleet/groups/forecast.py
@@ -14,6 +14,7 @@
 and trend that they would move; then it is stretched until it would have held the past (`_stretch`). A
 forecast is a function of the series alone: late counts revise it by being in it.
 """
+
 from __future__ import annotations
 
 import math
@@ -40,7 +41,13 @@
     least_days: int = 3
     damping: float = 0.98
     grid: tuple[tuple[float, float], ...] = (
-        (0.05, 0.0), (0.15, 0.0), (0.35, 0.0), (0.1, 0.1), (0.25, 0.1), (0.4, 0.05))
+        (0.05, 0.0),
+        (0.15, 0.0),
+        (0.35, 0.0),
+        (0.1, 0.1),
+        (0.25, 0.1),
+        (0.4, 0.05),
+    )
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,8 +94,9 @@
     return [mean / total for mean in means]
 
 
-def days_of(first: int, series: Sequence[float | None], shares: Sequence[float],
-            heard: float) -> list[float | None]:
+def days_of(
+    first: int, series: Sequence[float | None], shares: Sequence[float], heard: float
+) -> list[float | None]:
     """Sums of 24 hours, the last of which ends with the series; those with hours missing filled up by
     shares."""
     days: list[float | None] = []
@@ -112,7 +120,7 @@
         if value is None:
             continue
         start = min(max(0, at - 3), max(0, len(days) - WEEK))
-        around = [v for v in days[start:start + WEEK] if v is not None]
+        around = [v for v in days[start : start + WEEK] if v is not None]
         mean = sum(around) / len(around)
         if len(around) >= 5 and mean > 0:
             ratios[at % WEEK].append(value / mean)
@@ -123,8 +131,16 @@
     return [f * WEEK / total for f in factors]
 
 
-def smooth(days: Sequence[float | None], level: float, trend: float, season: Sequence[float], alpha: float,
-           beta: float, damping: float, clip: float = math.inf) -> Fit:
+def smooth(
+    days: Sequence[float | None],
+    level: float,
+    trend: float,
+    season: Sequence[float],
+    alpha: float,
+    beta: float,
+    damping: float,
+    clip: float = math.inf,
+) -> Fit:
     """Through all days once. A missing day moves nothing but by the trend expected."""
     season, residuals, fitted = list(season), [], []
     loss, scale = 0.0, 0.3  # scale: a decayed mean of what residuals are, as shares
@@ -159,8 +175,10 @@
 def fit(days: Sequence[float | None], season: Sequence[float], rules: ForecastRules) -> Fit:
     """The smoothings of the grid put together, those of less absolute error counting more: a mean of
     forecasts does better than the one that looks best (Timmermann, "Forecast combinations", 2006)."""
-    fits = [smooth(days, start(days, season), 0.0, season, alpha, beta * alpha, rules.damping, rules.clip)
-            for alpha, beta in rules.grid]
+    fits = [
+        smooth(days, start(days, season), 0.0, season, alpha, beta * alpha, rules.damping, rules.clip)
+        for alpha, beta in rules.grid
+    ]
     best = min(fits, key=lambda f: f.loss)
     weights = [(max(best.loss, 1e-9) / max(f.loss, 1e-9)) ** 8 for f in fits]
     total = sum(weights)
@@ -181,8 +199,9 @@
 
 def since_change(days: Sequence[float | None], season: Sequence[float], rules: ForecastRules) -> int:
     """The day from which on level and trend are fitted."""
-    plain = [None if v is None or season[at % WEEK] < IDLE else v / season[at % WEEK]
-             for at, v in enumerate(days)]
+    plain = [
+        None if v is None or season[at % WEEK] < IDLE else v / season[at % WEEK] for at, v in enumerate(days)
+    ]
     return last_change(plain, rules.least_days)
 
 
@@ -190,7 +209,7 @@
     """Season of all, level and trend since the last change: the fit, its first day, the day of the change."""
     season = seasons(days)
     change = since_change(days, season, rules)
-    turned = season[change % WEEK:] + season[:change % WEEK]
+    turned = season[change % WEEK :] + season[: change % WEEK]
     state = fit(days[change:], turned, rules)
     if change >= WEEK:  # the level is another, the noise is much the same
         state.residuals += fit(days[:change], season, rules).residuals
@@ -224,7 +243,7 @@
     """Errors of the past, of sums over a week or what there was, as shares of what was expected."""
     ahead, errors = min(WEEK, len(days) // 3), []
     for end in range(len(days) - ahead, max(rules.least_days, len(days) - ahead - 3 * WEEK), -2):
-        actual = days[end:end + ahead]
+        actual = days[end : end + ahead]
         if ahead < 2 or sum(v is None for v in actual) > ahead // 3:
             continue
         state, _, count = model(days[:end], rules)
@@ -243,8 +262,9 @@
     return values[low] + (at - low) * (values[min(low + 1, len(values) - 1)] - values[low])
 
 
-def forecast(first: int, series: Sequence[float | None], rng: random.Random,
-             rules: ForecastRules = ForecastRules()) -> Forecast | None:  # noqa: B008
+def forecast(
+    first: int, series: Sequence[float | None], rng: random.Random, rules: ForecastRules = ForecastRules()
+) -> Forecast | None:  # noqa: B008
     """From counts of each hour since `first`, None where missing. None while too few days are known."""
     shares = profile(first, series)
     days = days_of(first, series, shares, rules.heard)
@@ -265,5 +285,12 @@
         high.append(max(quantile(column, 0.9), center + width))
     daily = [b - a for a, b in zip([0.0, *high], high, strict=False)]
     top = max(shares)
-    return Forecast(first + len(series) - 1, tuple(low), tuple(mid), tuple(high),
-                    tuple(max(0.0, d) * top for d in daily), tuple(shares), change or None)
+    return Forecast(
+        first + len(series) - 1,
+        tuple(low),
+        tuple(mid),
+        tuple(high),
+        tuple(max(0.0, d) * top for d in daily),
+        tuple(shares),
+        change or None,
+    )
--- a/aspenrill/fleet/groups/hours.py
+++ b/aspenrill/fleet/groups/hours.py
@@ -1,4 +1,5 @@
 """One hour of the counters: what each origin told of it, and what is missing. Hours of UTC, since 1970."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
--- a/aspenrill/fleet/groups/part.py
+++ b/aspenrill/fleet/groups/part.py
@@ -5,6 +5,7 @@
 the facts that come back (`splits.MapNews`, `WarmNews`); `SplitNews` is for the driver, which writes
 `owner_file`.
 """
+
 from __future__ import annotations
 
 import random
@@ -90,8 +91,11 @@
         self.counts = Counts(self.rules.counts, view.name, view.incarnation, self.hour_of(now))
         self.telling = Telling(self.rules.telling, self.rules.keepers, self.counts)
         self.told_at = self.stored_at = now
-        bad = [key for key, body in sorted(stored.items())
-               if key.startswith("hour/") and self.counts.restore(body) is None]
+        bad = [
+            key
+            for key, body in sorted(stored.items())
+            if key.startswith("hour/") and self.counts.restore(body) is None
+        ]
         self.counts.relive(stored.get("life", b""))
         self.counts.changed.update(self.counts.hours)
         effects: list[Effect] = [Store(key, None) for key in bad]
@@ -124,8 +128,11 @@
             return self.splits.on_agreed(now, record) + self._hold()
         size = read(record.body, Size)
         self.splits.agreed(record)
-        if size is not None and str(size.group) == record.key and (
-                size.group in self.sizes or len(self.sizes) < self.rules.counts.most_groups):
+        if (
+            size is not None
+            and str(size.group) == record.key
+            and (size.group in self.sizes or len(self.sizes) < self.rules.counts.most_groups)
+        ):
             self.sizes[size.group] = size
         return []
 
@@ -250,7 +257,7 @@
         others."""
         size = self.sizes.get(group)
         start = max(0, size.hour + 1 - first) if size else 0
-        since = series[start:max(start, end - first)]
+        since = series[start : max(start, end - first)]
         known = [value for value in since if value is not None]
         before = size.bytes if size else self.rules.sizes.get(group, 0.0)
         return before + (sum(known) * len(since) / len(known) if known else 0.0)
@@ -267,11 +274,13 @@
     def _split(self, plan: Plan) -> Split:
         """The record of a plan. Its name is the same at whoever plans it in this hour."""
         router = self.splits.router
-        homes = dict.fromkeys(e for part in range(plan.parts)
-                              for e in router.part_order(plan.group, part)[:self.rules.homes])
+        homes = dict.fromkeys(
+            e for part in range(plan.parts) for e in router.part_order(plan.group, part)[: self.rules.homes]
+        )
         names = list(homes)[:16]
         while sum(len(name.encode()) + 2 for name in names) > 320:  # a record of the log holds 600 bytes
             names.pop()
         ident = f"g{plan.group}-{plan.parts}-v{self.splits.map.version}-h{self.counts.hour}"
-        return Split(ident, plan.group, plan.was, plan.parts, Step.PROPOSED, plan.at, plan.before,
-                     tuple(names))
+        return Split(
+            ident, plan.group, plan.was, plan.parts, Step.PROPOSED, plan.at, plan.before, tuple(names)
+        )
--- a/aspenrill/fleet/groups/records.py
+++ b/aspenrill/fleet/groups/records.py
@@ -2,6 +2,7 @@
 
 `read` gives None for whatever is not of the checked form, so that nothing malformed changes anything.
 """
+
 from __future__ import annotations
 
 from enum import IntEnum
@@ -11,10 +12,10 @@
 from msgspec import Meta, Struct
 
 SEAL = -1  # in the place of a group: what an origin has told of an hour is all there is
-MOST = 2 ** 53  # the largest count
+MOST = 2**53  # the largest count
 Count = Annotated[int, Meta(ge=0, le=MOST)]
 Hour = Annotated[int, Meta(ge=0, le=10_000_000)]  # of UTC, since 1970
-GroupId = Annotated[int, Meta(ge=0, le=2 ** 31)]
+GroupId = Annotated[int, Meta(ge=0, le=2**31)]
 Name = Annotated[str, Meta(max_length=64)]
 Parts = Annotated[int, Meta(ge=1, le=1024)]
 
@@ -29,7 +30,7 @@
 
     origin: Name
     incarnation: Count
-    group: Annotated[int, Meta(ge=SEAL, le=2 ** 31)]
+    group: Annotated[int, Meta(ge=SEAL, le=2**31)]
     hour: Hour
     rows: Count
     bytes: Count
--- a/aspenrill/fleet/groups/route.py
+++ b/aspenrill/fleet/groups/route.py
@@ -6,6 +6,7 @@
 name-based mappings to increase hit rates", 1998), by the same figures as `state.Fleet.order`, so that a
 group never split is at home where it is without the fleet. A request keeps the map that it was sent under.
 """
+
 from __future__ import annotations
 
 import zlib
@@ -28,8 +29,9 @@
 def order(group: int, part: int, engines: Sequence[str]) -> tuple[str, ...]:
     """Engines in the order of a part of a group, the same at every process: ties go by name."""
     label = f"{group}" if part == 0 else f"{group}.{part}"
-    return tuple(sorted(engines, key=lambda e: (
-        zlib.crc32(f"{label}/{e}".encode()) * 2654435761 >> 7 & 1023, e)))
+    return tuple(
+        sorted(engines, key=lambda e: (zlib.crc32(f"{label}/{e}".encode()) * 2654435761 >> 7 & 1023, e))
+    )
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,4 +81,6 @@
 
     def allowed(self, maps: Sequence[Map], group: int, key: bytes | None) -> tuple[str, ...]:
         """Homes under any of these versions, the last one's first: while a version spreads, old and new."""
-        return tuple(dict.fromkeys(e for m in reversed(maps) for e in self.order(m, group, key)[:self.homes]))
+        return tuple(
+            dict.fromkeys(e for m in reversed(maps) for e in self.order(m, group, key)[: self.homes])
+        )
--- a/aspenrill/fleet/groups/schedule.py
+++ b/aspenrill/fleet/groups/schedule.py
@@ -6,6 +6,7 @@
 the limit for well longer than the lead time; a plan keeps its hours unless they have come to be clearly too
 late.
 """
+
 from __future__ import annotations
 
 from collections.abc import Mapping, Sequence
@@ -71,15 +72,20 @@
                 break
             before = high
     if look.work is not None:
-        hours += [look.last + day * DAY for day, peak in enumerate(look.work.peak)
-                  if peak >= share * rules.work * parts][:1]
+        hours += [
+            look.last + day * DAY
+            for day, peak in enumerate(look.work.peak)
+            if peak >= share * rules.work * parts
+        ][:1]
     return min(hours, default=None)
 
 
 def quiet(profile: Sequence[float], first: int, last: int, window: int) -> int:
     """The first hour of the quietest window that starts within these; the earliest among equals."""
-    return min(range(first, max(first, last) + 1),
-               key=lambda h: (round(sum(profile[(h + i) % DAY] for i in range(window)), 6), h))
+    return min(
+        range(first, max(first, last) + 1),
+        key=lambda h: (round(sum(profile[(h + i) % DAY] for i in range(window)), 6), h),
+    )
 
 
 class Scheduler:
--- a/aspenrill/fleet/groups/splits.py
+++ b/aspenrill/fleet/groups/splits.py
@@ -14,6 +14,7 @@
 
 Time spent in a step is counted from when this process learned of it: a successor waits the whole time again.
 """
+
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
@@ -182,8 +183,11 @@
         """Whether a split of this group may be planned: none is open, none was dropped of late."""
         ours = [s for s in self.splits.values() if s.group == group]
         resting = any(s.step == Step.DROPPED and now - self.since[s.id] < self.rules.rest for s in ours)
-        waits = any(kind == "split" and (split := read(o.body, Split)) and split.group == group
-                    for (kind, _), o in self.open.items() if o.epoch == self.authority.coordinating(now))
+        waits = any(
+            kind == "split" and (split := read(o.body, Split)) and split.group == group
+            for (kind, _), o in self.open.items()
+            if o.epoch == self.authority.coordinating(now)
+        )
         return not resting and not waits and all(s.step.over for s in ours)
 
     def room(self) -> bool:
@@ -207,8 +211,14 @@
         self.open[kind, key] = Open(epoch, now, body)
         return self.authority.propose(now, kind, key, body)
 
-    def tick(self, now: float, hour: int, off: Iterable[str], wanted: Callable[[Split], str | None],
-             spread: Callable[[int], bool]) -> list[Effect]:
+    def tick(
+        self,
+        now: float,
+        hour: int,
+        off: Iterable[str],
+        wanted: Callable[[Split], str | None],
+        spread: Callable[[int], bool],
+    ) -> list[Effect]:
         """The next steps. `off`: ids that an operator has called off. `wanted`: why a split is not wanted any
         more; None while it is. `spread`: whether all have told that they route by this version."""
         epoch = self.authority.coordinating(now)
@@ -224,8 +234,15 @@
                 effects += self._next(now, hour, split, split.id in off, wanted, spread)
         return effects + self._forget(now)
 
-    def _next(self, now: float, hour: int, split: Split, off: bool,
-              wanted: Callable[[Split], str | None], spread: Callable[[int], bool]) -> list[Effect]:
+    def _next(
+        self,
+        now: float,
+        hour: int,
+        split: Split,
+        off: bool,
+        wanted: Callable[[Split], str | None],
+        spread: Callable[[int], bool],
+    ) -> list[Effect]:
         """The next step of one split, or none yet."""
         waited = now - self.since[split.id]
         if split.step.over:
@@ -236,8 +253,11 @@
             if spread(self.map.shapes[split.group].version) or waited >= self.rules.spread:
                 return self._step(now, split, Step.DONE)
             return []
-        why = "called off" if off else self._missed(hour, split) or (
-            wanted(split) if split.step < Step.WARMING else None)
+        why = (
+            "called off"
+            if off
+            else self._missed(hour, split) or (wanted(split) if split.step < Step.WARMING else None)
+        )
         if why:
             return self._step(now, split, Step.DROPPED, why)
         if not self.quiet(now):
@@ -256,8 +276,13 @@
 
     def _turn(self, split: Split) -> bool:
         """One per engine and a few at a time, those among them whose step is proposed and not yet agreed."""
-        busy = [s for s in self.splits.values() if not s.step.over and s.id != split.id and (
-            s.step >= Step.WARMING or ("split", s.id) in self.open and s.step == Step.AGREED)]
+        busy = [
+            s
+            for s in self.splits.values()
+            if not s.step.over
+            and s.id != split.id
+            and (s.step >= Step.WARMING or ("split", s.id) in self.open and s.step == Step.AGREED)
+        ]
         engines = {engine for s in busy for engine in s.engines}
         return len(busy) < self.rules.most_at_once and engines.isdisjoint(split.engines)
 
@@ -285,5 +310,7 @@
 def line(split: Split) -> str:
     """For the log: one line a step."""
     reason = f": {split.reason}" if split.reason else ""
-    return (f"split {split.id} of group {split.group} from {split.was} to {split.parts} parts: "
-            f"{split.step.name.lower()}{reason}; window from hour {split.at}, limit in hour {split.before}")
+    return (
+        f"split {split.id} of group {split.group} from {split.was} to {split.parts} parts: "
+        f"{split.step.name.lower()}{reason}; window from hour {split.at}, limit in hour {split.before}"
+    )
--- a/aspenrill/fleet/groups/telling.py
+++ b/aspenrill/fleet/groups/telling.py
@@ -6,6 +6,7 @@
 data types", 2018.) With the board instead, each process would hold and pass on what a handful need: 1,100
 times the traffic.
 """
+
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
@@ -46,8 +47,11 @@
 
     def __init__(self, rules: TellRules, keepers: Iterable[str], counts: Counts) -> None:
         self.rules, self.counts, self.me = rules, counts, counts.me[0]
-        self.keepers = tuple(sorted(keepers, key=lambda keeper: (
-            xxhash.xxh3_64_intdigest(f"{self.me}/{keeper}".encode()), keeper)))
+        self.keepers = tuple(
+            sorted(
+                keepers, key=lambda keeper: (xxhash.xxh3_64_intdigest(f"{self.me}/{keeper}".encode()), keeper)
+            )
+        )
         self.keeps = self.me in self.keepers
         self.near: dict[str, Neighbour] = {}
         self.asked: set[tuple[str, int]] = set()
@@ -61,8 +65,12 @@
 
     def held(self) -> frozenset[int]:
         """Hours of which a neighbour still lacks something."""
-        return frozenset(key[3] for near in self.near.values() for keys in
-                         (near.lacks, *(sent for _, sent in near.out.values())) for key in keys)
+        return frozenset(
+            key[3]
+            for near in self.near.values()
+            for keys in (near.lacks, *(sent for _, sent in near.out.values()))
+            for key in keys
+        )
 
     def tick(self, now: float, members: Mapping[str, Member]) -> list[Effect]:
         """Who is to be told, what goes out, and what goes out again."""
@@ -92,8 +100,10 @@
             return []
         self.asked = {(n, i) for n, i in self.asked if n != name} | {(name, incarnation)}
         known = [hour for hour in self.counts.hours if self.counts.heard(hour)]
-        gap = min((h for h in range(self.counts.hour - self.counts.rules.kept, self.counts.hour)
-                   if h not in known), default=self.counts.hour)
+        gap = min(
+            (h for h in range(self.counts.hour - self.counts.rules.kept, self.counts.hour) if h not in known),
+            default=self.counts.hour,
+        )
         return [Post(name, pack(Ask(gap)))]
 
     def _send(self, now: float, name: str, near: Neighbour) -> list[Effect]:
--- a/aspenrill/fleet/interface.py
+++ b/aspenrill/fleet/interface.py
@@ -5,6 +5,7 @@
 out in their order: on the hub in a process, on a virtual clock in tests. Times of two processes are never
 compared.
 """
+
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
@@ -86,6 +87,7 @@
 
 # ---- effects ------------------------------------------------------------------------------------------
 
+
 @dataclass(frozen=True, slots=True)
 class Put:
     """This process's own entry under a topic, from now on; it spreads to all."""
@@ -166,6 +168,7 @@
 
 # ---- the one authority --------------------------------------------------------------------------------
 
+
 @dataclass(frozen=True, slots=True)
 class Agreed:
     """A record of the coordinator's log that is on the disks of a majority of voters.
--- a/aspenrill/fleet/joining.py
+++ b/aspenrill/fleet/joining.py
@@ -1,4 +1,5 @@
 """Makes a front end one of a fleet: its service, its parts, and what they and the owner say to each other."""
+
 from __future__ import annotations
 
 import os
@@ -28,8 +29,14 @@
     return found
 
 
-def join(hub: Hub, node: Node, read: Callable[[], dict[str, Any]], path: str, classes: Sequence[str] = (),
-         tenants: Sequence[str] = ()) -> Callable[[], None]:
+def join(
+    hub: Hub,
+    node: Node,
+    read: Callable[[], dict[str, Any]],
+    path: str,
+    classes: Sequence[str] = (),
+    tenants: Sequence[str] = (),
+) -> Callable[[], None]:
     """Join the fleet that the table names; `read` reads it (anew). The function that comes back does so at
     SIGHUP. ConfigError where the table, its keys or its folder cannot be used."""
     names = Names(tuple(classes), node.settings.classes, tuple(tenants))
--- a/aspenrill/fleet/kept/front.py
+++ b/aspenrill/fleet/kept/front.py
@@ -5,6 +5,7 @@
 `closed` when a request has its final answer for whatever reason. What a load may have written is purged here
 at once, and through `tell` everywhere. No I/O; `now` is CLOCK_BOOTTIME, read just before each call.
 """
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -58,8 +59,13 @@
 class Kept:
     """The object that the owner holds where `[fleet.purges]` is on. `clock`: what it reads as `now`."""
 
-    def __init__(self, store: Store, policy: Policy, tell: Callable[[LoadNews], None],
-                 clock: Callable[[], float] = lambda: 0.0) -> None:
+    def __init__(
+        self,
+        store: Store,
+        policy: Policy,
+        tell: Callable[[LoadNews], None],
+        clock: Callable[[], float] = lambda: 0.0,
+    ) -> None:
         self.store, self.policy, self.tell, self.clock = store, policy, tell, clock
         self.flights: dict[str, Flight] = {}  # by the id of the request that fetches
         self.latest: dict[Key, Flight] = {}  # that may be joined
--- a/aspenrill/fleet/kept/policy.py
+++ b/aspenrill/fleet/kept/policy.py
@@ -1,18 +1,19 @@
 """Whose answers are kept and for how long: `[fleet.kept]` and `[fleet.purges]`, each fault by its field.
 
-    [fleet.kept]
-    enabled = true
-    most_mb = 32
-    [[fleet.kept.class]]
-    name = "lookup"        # a class whose effect is repeatable, and no load
-    seconds = 5.0
-    tenants = ["shop"]     # none named: all
-
-    [fleet.purges]
-    enabled = true
-    lease_s = 6.0
-    folder = "/var/lib/aspenrill/purges"
+[fleet.kept]
+enabled = true
+most_mb = 32
+[[fleet.kept.class]]
+name = "lookup"        # a class whose effect is repeatable, and no load
+seconds = 5.0
+tenants = ["shop"]     # none named: all
+
+[fleet.purges]
+enabled = true
+lease_s = 6.0
+folder = "/var/lib/aspenrill/purges"
 """
+
 from __future__ import annotations
 
 from collections.abc import Sequence
@@ -60,14 +61,17 @@
     enabled: bool = False
 
 
-def read_kept(fleet: Reader, names: Sequence[str], classes: Sequence[api.QueryClass],
-              tenants: Sequence[str]) -> Policy:
+def read_kept(
+    fleet: Reader, names: Sequence[str], classes: Sequence[api.QueryClass], tenants: Sequence[str]
+) -> Policy:
     """The policy of `[fleet.kept]`; nothing is kept where it is absent or off. Faults go to the reader."""
     row = fleet.table_of("kept")
     on = row.flag("enabled", False)
-    bounds = Bounds(int(row.number("most_entries", 10_000, 1, 10_000_000)),
-                    int(row.number("most_mb", 32, 1, 1 << 16) * (1 << 20)),
-                    int(row.number("most_answer_kb", 256, 1, 1 << 16) * 1024))
+    bounds = Bounds(
+        int(row.number("most_entries", 10_000, 1, 10_000_000)),
+        int(row.number("most_mb", 32, 1, 1 << 16) * (1 << 20)),
+        int(row.number("most_answer_kb", 256, 1, 1 << 16) * 1024),
+    )
     joins, wait = int(row.number("joins", 64, 0, 10_000)), row.number("wait_ms", 1000, 1, 3_600_000) / 1000
     rules: dict[int, Rule] = {}
     listed = []
@@ -81,10 +85,14 @@
         if name in names:
             cls = names.index(name)
             if classes[cls].effect is not api.Effect.SAFE or classes[cls].is_load:
-                table.fault("name", f"answers of {name} cannot be kept: its effect is not repeatable, or it "
-                                    "is a load")
-            rules[cls] = Rule(name, seconds, frozenset(
-                tenants.index(tenant) for tenant in whose if tenant in tenants) if whose else None)
+                table.fault(
+                    "name", f"answers of {name} cannot be kept: its effect is not repeatable, or it is a load"
+                )
+            rules[cls] = Rule(
+                name,
+                seconds,
+                frozenset(tenants.index(tenant) for tenant in whose if tenant in tenants) if whose else None,
+            )
         table.end()
     unique(row, "class", listed)
     row.end()
@@ -95,7 +103,11 @@
 def read_purges(fleet: Reader) -> PurgeSettings:
     """`[fleet.purges]`. Faults go to the reader."""
     row = fleet.table_of("purges")
-    found = PurgeSettings(row.number("lease_s", 6.0, 1.0, 60.0), row.text("folder", ""),
-                          row.text("state", ""), row.flag("enabled", False))
+    found = PurgeSettings(
+        row.number("lease_s", 6.0, 1.0, 60.0),
+        row.text("folder", ""),
+        row.text("state", ""),
+        row.flag("enabled", False),
+    )
     row.end()
     return found
--- a/aspenrill/fleet/kept/scopes.py
+++ b/aspenrill/fleet/kept/scopes.py
@@ -4,6 +4,7 @@
 Table groups fall into SLOTS by their number, so that versions and log keys are bounded whatever statements
 name; two groups of one slot are purged together, which costs speed only.
 """
+
 from __future__ import annotations
 
 import re
@@ -14,13 +15,47 @@
 ALL = "all"
 PATTERN = r"\A(?:all|g\d{1,4}|c:[^\x00-\x1f]{1,64})\Z"
 READS = {"select", "with"}  # how a statement begins whose answer may be kept
-WRITES = {"insert", "update", "delete", "merge", "truncate", "copy", "into", "create", "drop", "alter",
-          "exec", "execute", "call", "grant", "revoke", "declare", "lock"}
+WRITES = {
+    "insert",
+    "update",
+    "delete",
+    "merge",
+    "truncate",
+    "copy",
+    "into",
+    "create",
+    "drop",
+    "alter",
+    "exec",
+    "execute",
+    "call",
+    "grant",
+    "revoke",
+    "declare",
+    "lock",
+}
 TABLES = {"from", "join", "using"}
-OTHER = {"where", "on", "select", "group", "order", "having", "limit", "union", "except", "intersect",
-         "when", "window", "offset", "fetch", "option", "for"}
-TOKEN = re.compile(rf"{sql.LITERAL}|\d[\w.]*|(?P<name>{sql.PART}(?:\s*\.\s*{sql.PART})*)|(?P<mark>[(),;])",
-                   re.S)
+OTHER = {
+    "where",
+    "on",
+    "select",
+    "group",
+    "order",
+    "having",
+    "limit",
+    "union",
+    "except",
+    "intersect",
+    "when",
+    "window",
+    "offset",
+    "fetch",
+    "option",
+    "for",
+}
+TOKEN = re.compile(
+    rf"{sql.LITERAL}|\d[\w.]*|(?P<name>{sql.PART}(?:\s*\.\s*{sql.PART})*)|(?P<mark>[(),;])", re.S
+)
 _VALID = re.compile(PATTERN)
 
 
@@ -82,7 +117,7 @@
                 wanted[-1] = listed[-1] = False
             elif wanted[-1] and word not in ("lateral", "only", "as"):
                 group = _group(name)
-                if group is None or text[match.end():].lstrip().startswith("("):
+                if group is None or text[match.end() :].lstrip().startswith("("):
                     return None
                 found.add(group)
                 wanted[-1] = False
--- a/aspenrill/fleet/kept/store.py
+++ b/aspenrill/fleet/kept/store.py
@@ -6,6 +6,7 @@
 read by the caller at the moment of use: a process that was paused finds its lease over before it serves
 anything.
 """
+
 from __future__ import annotations
 
 from collections import OrderedDict
--- a/aspenrill/fleet/overload/bridge.py
+++ b/aspenrill/fleet/overload/bridge.py
@@ -3,6 +3,7 @@
 Both live in one thread. Calls take microseconds and keep nothing that is not bounded. Without a fleet
 there is no bridge, and the module goes by its own settings as before.
 """
+
 from __future__ import annotations
 
 from collections.abc import Iterable
--- a/aspenrill/fleet/overload/capacity.py
+++ b/aspenrill/fleet/overload/capacity.py
@@ -1,4 +1,5 @@
 """How much there is of each capacity, where processes do not agree yet: the smaller counts until they do."""
+
 from __future__ import annotations
 
 from collections.abc import Iterable
--- a/aspenrill/fleet/overload/demand.py
+++ b/aspenrill/fleet/overload/demand.py
@@ -1,4 +1,5 @@
 """What each process tells of its load, every half second or on a jump, and what the others make of it."""
+
 from __future__ import annotations
 
 import math
@@ -101,10 +102,20 @@
             if work > 1e-3:
                 classes.append((cls, milli(worth / work), milli(work), milli(refused)))
         busiest = sorted(self.tenants, key=lambda t: -self.tenants[t][0].now(now))[:MOST_TENANTS]
-        tenants = tuple((t, milli(self.tenants[t][0].now(now)), milli(self.tenants[t][1].now(now)))
-                        for t in sorted(busiest))
-        return Told(tuple(classes), tenants, milli(self.threads), milli(self.slowdown, 10**9),
-                    max(0, min(100, self.rung)), milli(self.waiting), milli(self.firsts.now(now)), spare)
+        tenants = tuple(
+            (t, milli(self.tenants[t][0].now(now)), milli(self.tenants[t][1].now(now)))
+            for t in sorted(busiest)
+        )
+        return Told(
+            tuple(classes),
+            tenants,
+            milli(self.threads),
+            milli(self.slowdown, 10**9),
+            max(0, min(100, self.rung)),
+            milli(self.waiting),
+            milli(self.firsts.now(now)),
+            spare,
+        )
 
     def _tenant(self, now: float, tenant: int) -> tuple[Rate, Rate]:
         if tenant not in self.tenants and len(self.tenants) >= 4 * MOST_TENANTS:
--- a/aspenrill/fleet/overload/facts.py
+++ b/aspenrill/fleet/overload/facts.py
@@ -2,6 +2,7 @@
 
 A part is kept as steps that end by themselves, so that it is read with the clock at the moment of use.
 """
+
 from __future__ import annotations
 
 import math
--- a/aspenrill/fleet/overload/leases.py
+++ b/aspenrill/fleet/overload/leases.py
@@ -7,6 +7,7 @@
 majorities have a voter in common, so a process with a lease and another that uses its upper half cannot
 exist at the same time.
 """
+
 from __future__ import annotations
 
 import math
@@ -77,7 +78,7 @@
     def _silent(self, now: float, asker: int, asks: bytes) -> bytes:
         bits = 0
         for place in range(len(asks) // 8):
-            name = int.from_bytes(asks[8 * place:8 * place + 8], "big")
+            name = int.from_bytes(asks[8 * place : 8 * place + 8], "big")
             if name != asker and self._certify(now, name):
                 bits |= 1 << place
         return bits.to_bytes(MOST_ASKED // 8, "little") if bits else b""
@@ -144,7 +145,7 @@
         bits = int.from_bytes(ack.silent, "little")
         for place in range(len(asks) // 8):
             if bits >> place & 1:
-                told = self.certs.setdefault(int.from_bytes(asks[8 * place:8 * place + 8], "big"), {})
+                told = self.certs.setdefault(int.from_bytes(asks[8 * place : 8 * place + 8], "big"), {})
                 told[voter] = max(at, told.get(voter, -math.inf))
 
     def until(self) -> float:
--- a/aspenrill/fleet/overload/ledger.py
+++ b/aspenrill/fleet/overload/ledger.py
@@ -5,6 +5,7 @@
 piece of what lies above the floor. Each use re-reads the clock by `share(now, kind)`. The proof is in
 docs/design/together-overload.md.
 """
+
 from __future__ import annotations
 
 import math
@@ -164,4 +165,4 @@
 
     def _doubted(self) -> list[str]:
         """Whom to ask the voters after."""
-        return [name for name in self.absent if name != self.name][:self.rules.count - 1]
+        return [name for name in self.absent if name != self.name][: self.rules.count - 1]
--- a/aspenrill/fleet/overload/loans.py
+++ b/aspenrill/fleet/overload/loans.py
@@ -5,6 +5,7 @@
 the lender owes the larger of two grants at most, and a message lost, late, twice or out of order changes
 nothing else.
 """
+
 from __future__ import annotations
 
 import math
@@ -19,7 +20,7 @@
 
 def whole(amounts: tuple[float, ...]) -> tuple[float, ...]:
     """One amount for each kind; kinds that the other side does not know are nothing."""
-    return (amounts + NOTHING)[:len(KINDS)]
+    return (amounts + NOTHING)[: len(KINDS)]
 
 
 class Owed:
@@ -41,8 +42,10 @@
 
     def lent(self, now: float, kind: int) -> float:
         """Share of the whole that is lent out, or may still be."""
-        return sum(max((a[kind] for a, end in owed.grants.values() if end > now), default=0.0)
-                   for owed in self.owed.values())
+        return sum(
+            max((a[kind] for a, end in owed.grants.values() if end > now), default=0.0)
+            for owed in self.owed.values()
+        )
 
     def promised(self, now: float, kind: int) -> float:
         """Share of the whole that stays lent out by the latest grants, once all have heard of them."""
@@ -53,8 +56,9 @@
         """When the last loan is over."""
         return max((end for owed in self.owed.values() for _, end in owed.grants.values()), default=-math.inf)
 
-    def ask(self, now: float, name: str, incarnation: int, ask: Ask,
-            free: Callable[[int], float]) -> Grant | None:
+    def ask(
+        self, now: float, name: str, incarnation: int, ask: Ask, free: Callable[[int], float]
+    ) -> Grant | None:
         """Lower by what `free` gives for a kind, then grant; where it is negative, less is granted than
         before, but the former grant counts until its holder has told that it goes by this one. None: a
         request that is old or was seen before."""
--- a/aspenrill/fleet/overload/part.py
+++ b/aspenrill/fleet/overload/part.py
@@ -1,4 +1,5 @@
 """The fleet's part for overload: ledger, news of demand, steering, retries, probes and turns, as effects."""
+
 from __future__ import annotations
 
 from collections.abc import Mapping
@@ -34,8 +35,9 @@
     topics = (WHOLE, DEMAND, PROBES, COLD)
     period = 0.25
 
-    def __init__(self, rules: Rules, retry_span: float = 10.0, free: float = 0.0, ratio: float = 0.1,
-                 sole: bool = True) -> None:
+    def __init__(
+        self, rules: Rules, retry_span: float = 10.0, free: float = 0.0, ratio: float = 0.1, sole: bool = True
+    ) -> None:
         rules.check()
         self.rules, self.sole = rules, sole
         self.retry_span, self.free, self.ratio = retry_span, free, ratio
@@ -222,11 +224,18 @@
         gone = sum(m.state is State.DEAD for m in self.view.members().values())
         share = self.ledger.share(now, THREADS)
         return Facts(
-            now, self.ledger.joined(now), not live,
+            now,
+            self.ledger.joined(now),
+            not live,
             steps(self.ledger.pieces(now, THREADS), self.capacity.threads(live)),
-            slowdown, max(t.rung for t in told), self.line.worth, min(1.0, self.line.admitted),
+            slowdown,
+            max(t.rung for t in told),
+            self.line.worth,
+            min(1.0, self.line.admitted),
             frozenset(self.probes.due(now)) if not self.ledger.over else frozenset(),
-            self.turns.deal(live, share, gone * self.rules.alone), tenants)
+            self.turns.deal(live, share, gone * self.rules.alone),
+            tenants,
+        )
 
     @staticmethod
     def _posts(out: Out) -> list[Effect]:
--- a/aspenrill/fleet/overload/probes.py
+++ b/aspenrill/fleet/overload/probes.py
@@ -6,6 +6,7 @@
 interval, each side of a partition has its own asker, and probes are bounded whatever the number of
 processes.
 """
+
 from __future__ import annotations
 
 from collections.abc import Iterable
@@ -118,8 +119,12 @@
         news = []
         answered = {answer.engine for answer in told.answers}
         for engine in told.engines:
-            if engine in self.names and engine not in self.out and len(self.out) < MOST_OUT and (
-                    engine not in answered):
+            if (
+                engine in self.names
+                and engine not in self.out
+                and len(self.out) < MOST_OUT
+                and (engine not in answered)
+            ):
                 self.out[engine] = Out(now, False)
         for answer in told.answers:
             key, stamp = (origin, answer.engine), (incarnation, answer.number)
--- a/aspenrill/fleet/overload/retries.py
+++ b/aspenrill/fleet/overload/retries.py
@@ -5,6 +5,7 @@
 what is above it when a share shrinks is lost and not handed on. Shares sum to one at most, so in any
 window all processes together spend at most what they kept at its start and what flowed in: the budget.
 """
+
 from __future__ import annotations
 
 
--- a/aspenrill/fleet/overload/rules.py
+++ b/aspenrill/fleet/overload/rules.py
@@ -1,4 +1,5 @@
 """What must be the same in all processes for parts never to sum to more than the whole."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass
--- a/aspenrill/fleet/overload/shares.py
+++ b/aspenrill/fleet/overload/shares.py
@@ -6,6 +6,7 @@
 Bertsekas and Gallager, Data Networks, 6.5.2). What nobody asks for is dealt out equally, so that parts are
 there before demand is.
 """
+
 from __future__ import annotations
 
 import math
@@ -15,14 +16,17 @@
 BAND = math.log(1.05)  # densities within a band of 5% count as equal: each process learns its own
 
 
-def water_fill(capacity: float, demands: Sequence[float],
-               weights: Sequence[float] | None = None) -> list[float]:
+def water_fill(
+    capacity: float, demands: Sequence[float], weights: Sequence[float] | None = None
+) -> list[float]:
     """Weighted max-min: each gets its demand, or `level` times its weight where that is less; all of
     `capacity` is dealt, as far as demand goes."""
     weights = weights or [1.0] * len(demands)
     given = [0.0] * len(demands)
-    order = sorted((i for i in range(len(demands)) if weights[i] > 0 and demands[i] > 0),
-                   key=lambda i: demands[i] / weights[i])
+    order = sorted(
+        (i for i in range(len(demands)) if weights[i] > 0 and demands[i] > 0),
+        key=lambda i: demands[i] / weights[i],
+    )
     left, weight = capacity, sum(weights[i] for i in order)
     for i in order:
         given[i] = min(demands[i], max(0.0, left) * weights[i] / weight)
--- a/aspenrill/fleet/overload/steering.py
+++ b/aspenrill/fleet/overload/steering.py
@@ -4,6 +4,7 @@
 left to swing are noise and late news: a part moves by at most `PACE` of itself in a second, and not at all
 for little.
 """
+
 from __future__ import annotations
 
 from collections.abc import Mapping
@@ -63,10 +64,13 @@
         least = LEAST * ledger.own()
         out: Out = []
         known = sorted(held, key=lambda n: (-sum(held[n].amounts) * (held[n].end > now), n))
-        offers = {name: t.spare for name, t in told.items()
-                  if name != ledger.name and name not in held and max(t.spare, default=0.0) > least}
+        offers = {
+            name: t.spare
+            for name, t in told.items()
+            if name != ledger.name and name not in held and max(t.spare, default=0.0) > least
+        }
         fresh = sorted(offers, key=lambda n: mark(f"{ledger.name}/{n}"))
-        for name in known + fresh[:max(0, MOST_LENDERS - len(known))]:
+        for name in known + fresh[: max(0, MOST_LENDERS - len(known))]:
             loan = held.get(name)
             have = loan.amounts if loan is not None and loan.end > now else (0.0,) * len(KINDS)
             spare = told[name].spare if name in told else ()
--- a/aspenrill/fleet/overload/turns.py
+++ b/aspenrill/fleet/overload/turns.py
@@ -4,6 +4,7 @@
 not have been told of its start and send as to a warm one: an equal part is kept free for it. Who is held
 to be dead may be cut off instead, and untold too: its floor is kept free while it is remembered.
 """
+
 from __future__ import annotations
 
 from collections.abc import Iterable
--- a/aspenrill/fleet/overload/wire.py
+++ b/aspenrill/fleet/overload/wire.py
@@ -1,4 +1,5 @@
 """Messages of this part, checked: what does not decode, or is out of range, is None and changes nothing."""
+
 from __future__ import annotations
 
 from typing import Annotated
--- a/aspenrill/fleet/parts.py
+++ b/aspenrill/fleet/parts.py
@@ -3,6 +3,7 @@
 Every process of a fleet has the same tables but for what names files. Faults go to the configuration, each by
 its field.
 """
+
 from __future__ import annotations
 
 import math
@@ -57,8 +58,9 @@
 
     def all(self) -> tuple[Part, ...]:
         """In the order in which they are called: the authority before those that ask it."""
-        return tuple(part for part in (self.authority, self.purges, self.groups, self.overload)
-                     if part is not None)
+        return tuple(
+            part for part in (self.authority, self.purges, self.groups, self.overload) if part is not None
+        )
 
     def front(self, tell: Callable[[LoadNews], None]) -> Kept | None:
         """What the owner asks for kept answers and tells of loads: wherever there are purges."""
@@ -75,17 +77,19 @@
     tables, found = config.tables, Parts()
     overload = _overload(tables["overload"], config)
     kept = tables["kept"]
-    outer = Reader({"kept": kept.table, "purges": tables["purges"].table}, kept.path.removesuffix("kept."),
-                   config.faults)
+    outer = Reader(
+        {"kept": kept.table, "purges": tables["purges"].table}, kept.path.removesuffix("kept."), config.faults
+    )
     found.policy = read_kept(outer, names.classes, names.specs, names.tenants)
     found.purging = read_purges(outer)
     keeps = kept.table.get("enabled") is True
     authority = _authority(tables["authority"], config, found.purging)
     groups = _groups(tables["groups"], config, found)
     for on, part, wanted, there in (
-            (found.purging.enabled, "purges", "authority", authority is not None),
-            (groups is not None, "groups", "authority", authority is not None),
-            (keeps, "kept", "purges", found.purging.enabled)):
+        (found.purging.enabled, "purges", "authority", authority is not None),
+        (groups is not None, "groups", "authority", authority is not None),
+        (keeps, "kept", "purges", found.purging.enabled),
+    ):
         if on and not there:
             tables[part].fault("enabled", f"{wanted} must be enabled too")
     config.check()
@@ -113,8 +117,10 @@
 def _overload(row: Reader, config: Config) -> OverloadPart | None:
     usual = OverloadRules(1, ("",))
     on = _on(row, config)
-    spans = {name: row.number(f"{name}_s", getattr(usual, name), 0.01, 3600)
-             for name in ("lease", "loan", "beat", "margin")}
+    spans = {
+        name: row.number(f"{name}_s", getattr(usual, name), 0.01, 3600)
+        for name in ("lease", "loan", "beat", "margin")
+    }
     if spans["beat"] * 3 > spans["lease"]:
         row.fault("beat_s", "a third of lease_s at most")
     span, free = row.number("retry_span_s", 10.0, 0.1, 3600), row.number("retry_free", 0.0, 0)
@@ -122,8 +128,9 @@
     row.end()
     if not on or config.faults:
         return None
-    return OverloadPart(OverloadRules(config.front_ends, config.voters, config.alone, **spans),
-                        span, free, ratio)
+    return OverloadPart(
+        OverloadRules(config.front_ends, config.voters, config.alone, **spans), span, free, ratio
+    )
 
 
 def _authority(row: Reader, config: Config, purging: PurgeSettings) -> AuthorityRules | None:
@@ -153,13 +160,17 @@
         work=schedule.number("core_ms", math.inf, 1, math.inf),
         lead=int(schedule.number("lead_h", usual.lead, 1, 24 * 60)),
         notice=int(schedule.number("notice_h", usual.notice, 0, 24 * 60)),
-        margin=int(schedule.number("margin_h", usual.margin, 0, 24 * 60)), window=window)
+        margin=int(schedule.number("margin_h", usual.margin, 0, 24 * 60)),
+        window=window,
+    )
     schedule.end()
     how = SplitRules(
         most_at_once=int(splits.number("most_at_once", steps.most_at_once, 1, 16)),
         notice=splits.number("notice_s", steps.notice, 0, 7 * 86400),
         warm=splits.number("warm_s", steps.warm, 0, 86400),
-        spread=splits.number("spread_s", steps.spread, 1, 86400), window=window)
+        spread=splits.number("spread_s", steps.spread, 1, 86400),
+        window=window,
+    )
     splits.end()
     sizes = {}
     table = row.table_of("sizes")
--- a/aspenrill/fleet/peer.py
+++ b/aspenrill/fleet/peer.py
@@ -4,6 +4,7 @@
 is there stands in members.json in the state folder, whole at any time. It runs the parts that its tables have
 on; `desk` says what they log. SIGHUP reads keys, seeds and the folder of purges.
 """
+
 from __future__ import annotations
 
 import os
@@ -43,12 +44,24 @@
     def write(self) -> None:
         """The file anew."""
         self._due = False
-        rows = [{"name": m.name, "incarnation": m.incarnation, "state": State(m.state).name, "host": m.host,
-                 "port": m.port, "place": [m.place.site, m.place.building, m.place.hall]}
-                for _, m in sorted(self.service.view.members().items())]
+        rows = [
+            {
+                "name": m.name,
+                "incarnation": m.incarnation,
+                "state": State(m.state).name,
+                "host": m.host,
+                "port": m.port,
+                "place": [m.place.site, m.place.building, m.place.hall],
+            }
+            for _, m in sorted(self.service.view.members().items())
+        ]
         try:
-            write_whole(self.service.store.folder / "members.json", msgspec.json.encode(
-                {"name": self.service.view.name, "fenced": self.service.fenced, "members": rows}))
+            write_whole(
+                self.service.store.folder / "members.json",
+                msgspec.json.encode(
+                    {"name": self.service.view.name, "fenced": self.service.fenced, "members": rows}
+                ),
+            )
         except Trouble as why:
             self.service.log("disk", why.line())
 
--- a/aspenrill/fleet/peers/board.py
+++ b/aspenrill/fleet/peers/board.py
@@ -3,6 +3,7 @@
 Only an origin raises its own versions. Where it hears of higher ones under its name and incarnation, it goes
 over them. What an earlier incarnation has told ends with it.
 """
+
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
@@ -54,8 +55,10 @@
         if told.origin == me.name:
             mine = self.told.get(me.name, {}).get(told.topic)
             if told.incarnation == me.incarnation and (mine is None or told.version > mine.version):
-                self._keep(now, Told(me.name, me.incarnation, told.topic, told.version + 1,
-                                     mine.value if mine else b""))
+                self._keep(
+                    now,
+                    Told(me.name, me.incarnation, told.topic, told.version + 1, mine.value if mine else b""),
+                )
             return True
         record = self.table.records.get(told.origin)
         if record is None or not record.there:
--- a/aspenrill/fleet/peers/detector.py
+++ b/aspenrill/fleet/peers/detector.py
@@ -10,6 +10,7 @@
 - Only who has itself probed in vain declares a death, and it goes on probing until it does. Who has only
   heard of a suspicion, and then hears nothing more, probes for itself.
 - Who hears nobody at all takes the others for dead for itself alone: it is more likely cut off itself."""
+
 from __future__ import annotations
 
 import math
@@ -190,8 +191,9 @@
 
     def _begin(self, now: float, record: Record, verify: bool) -> None:
         seq, direct = self.seq(), self.direct(record)
-        probe = self.probes[seq] = Probe(record.news.name, record.news.life, now, now + direct,
-                                         now + WHOLE * direct, verify)
+        probe = self.probes[seq] = Probe(
+            record.news.name, record.news.life, now, now + direct, now + WHOLE * direct, verify
+        )
         self.sender.send(now, record, Ping(seq))
         if verify:
             self._ask_others(now, seq, probe, record)
--- a/aspenrill/fleet/peers/events.py
+++ b/aspenrill/fleet/peers/events.py
@@ -1,4 +1,5 @@
 """What a process is told of itself, and the events that it tells."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass
--- a/aspenrill/fleet/peers/exchange.py
+++ b/aspenrill/fleet/peers/exchange.py
@@ -4,6 +4,7 @@
 later entries and what it wants (Missing); the caller sends that (Wanted). Frames carry tags under a key that
 both sides' nonces are part of, and a number: a recorded stream says nothing a second time.
 """
+
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator
@@ -90,9 +91,9 @@
         key = self.keys.by_id.get(data[:KEY_ID])
         if key is None:
             raise WireTrouble("stream key")
-        body = data[KEY_ID + TAG:]
+        body = data[KEY_ID + TAG :]
         number = self.got.to_bytes(8, "big")
-        if not same(tag(key.streams, self._in, self.nonces, number, body), data[KEY_ID:KEY_ID + TAG]):
+        if not same(tag(key.streams, self._in, self.nonces, number, body), data[KEY_ID : KEY_ID + TAG]):
             raise WireTrouble("stream tag")
         self.got += 1
         try:
@@ -170,8 +171,9 @@
         for told in frame.told:
             peers.board.hear(now, told)
         for head in frame.heads:
-            self._heads[head.origin] = {topic: (incarnation, version)
-                                        for topic, incarnation, version in head.topics}
+            self._heads[head.origin] = {
+                topic: (incarnation, version) for topic, incarnation, version in head.topics
+            }
         self._wants += frame.wants
 
     # ---- what is sent ---------------------------------------------------------------------------------
@@ -189,15 +191,21 @@
     def _missing(self) -> Iterator[bytes]:
         """What the caller lacks, and what it has and we do not."""
         table, board = self.peers.table, self.peers.board
-        news = [record.raw for name, record in table.records.items()
-                if name not in self._news or record.news.rank > self._news[name]]
+        news = [
+            record.raw
+            for name, record in table.records.items()
+            if name not in self._news or record.news.rank > self._news[name]
+        ]
         if table.me.rank > self._news.get(table.me.name, (-1, b"", 0, 0)):
             news.append(Raw(encode(table.me)))
         told, wants = [], []
         for origin, topics in board.told.items():
             theirs = self._heads.get(origin, {})
-            told += [entry for entry in topics.values()
-                     if theirs.get(entry.topic, (-1, 0)) < (entry.incarnation, entry.version)]
+            told += [
+                entry
+                for entry in topics.values()
+                if theirs.get(entry.topic, (-1, 0)) < (entry.incarnation, entry.version)
+            ]
         for origin, topics in self._heads.items():
             mine = board.told.get(origin, {})
             for topic, version in topics.items():
@@ -212,8 +220,13 @@
             if told is not None:
                 yield Raw(encode(told))
 
-    def _parts(self, news: Iterable[Raw] = (), heads: Iterable[Head] = (), told: Iterable[Raw] = (),
-               wants: Iterable[tuple[str, str]] = ()) -> Iterator[bytes]:
+    def _parts(
+        self,
+        news: Iterable[Raw] = (),
+        heads: Iterable[Head] = (),
+        told: Iterable[Raw] = (),
+        wants: Iterable[tuple[str, str]] = (),
+    ) -> Iterator[bytes]:
         """Frames of one leg, each filled up to its size."""
         lists: list[list] = [[], [], [], []]
         size = 0
--- a/aspenrill/fleet/peers/keys.py
+++ b/aspenrill/fleet/peers/keys.py
@@ -3,6 +3,7 @@
 HMAC-SHA256 (RFC 2104), cut to 16 bytes (RFC 2104, 5). The fleet's name goes into the key that tags are made
 with, so traffic of another fleet is foreign even where both use one key file.
 """
+
 from __future__ import annotations
 
 import hashlib
@@ -34,9 +35,14 @@
     """The first key makes tags, all are accepted."""
 
     def __init__(self, fleet: str, secrets: list[bytes]) -> None:
-        keys = [Key(hashlib.sha256(b"aspenrill key " + secret).digest()[:KEY_ID],
-                    _derived(secret, b"datagram", fleet), _derived(secret, b"stream", fleet))
-                for secret in secrets]
+        keys = [
+            Key(
+                hashlib.sha256(b"aspenrill key " + secret).digest()[:KEY_ID],
+                _derived(secret, b"datagram", fleet),
+                _derived(secret, b"stream", fleet),
+            )
+            for secret in secrets
+        ]
         self.first = keys[0]
         self.by_id = {key.id: key for key in keys}
 
--- a/aspenrill/fleet/peers/link.py
+++ b/aspenrill/fleet/peers/link.py
@@ -1,4 +1,5 @@
 """The sockets of a process's peers: datagrams and streams on one port, every wait with its time."""
+
 from __future__ import annotations
 
 import errno
@@ -28,8 +29,9 @@
 class Link:
     """Carries the datagrams and streams of `peers`, which is set before `read` is called."""
 
-    def __init__(self, hub: Hub, listen: Address, clock: Callable[[], float],
-                 changed: Callable[[], None]) -> None:
+    def __init__(
+        self, hub: Hub, listen: Address, clock: Callable[[], float], changed: Callable[[], None]
+    ) -> None:
         self.hub, self.clock, self.changed = hub, clock, changed
         self.peers: Peers | None = None
         self.unsent = self.sent = self.got = self.exchanges = self.failed_exchanges = 0
--- a/aspenrill/fleet/peers/names.py
+++ b/aspenrill/fleet/peers/names.py
@@ -6,6 +6,7 @@
 the elder goes over its incarnation. The one that has stepped back goes on asking; once the elder is silent it
 takes over.
 """
+
 from __future__ import annotations
 
 from dataclasses import dataclass
@@ -108,8 +109,11 @@
                 self.on_news(now, news)
         if isinstance(message, Contest):
             self.node.send_to(now, address, packet.life, Present(message.seq, self.first))
-        elif isinstance(message, Present) and self.rival is not None and (
-                self.rival.life, self.rival.seq) == (packet.life, message.seq):
+        elif (
+            isinstance(message, Present)
+            and self.rival is not None
+            and (self.rival.life, self.rival.seq) == (packet.life, message.seq)
+        ):
             self.rival.heard, self.rival.asked = now, 0
             self.rival.incarnation = max(self.rival.incarnation, packet.incarnation)
             if not self.fenced and (message.first, packet.life) < (self.first, self.table.me.life):
--- a/aspenrill/fleet/peers/node.py
+++ b/aspenrill/fleet/peers/node.py
@@ -3,6 +3,7 @@
 A driver gives it datagrams and time (`on_datagram`, `on_tick`, by `next_due`), runs the whole exchanges that
 it wants (`take_syncs`), sends what it puts out (`take_out`) and passes on its events (`take_events`).
 """
+
 from __future__ import annotations
 
 import math
@@ -55,8 +56,17 @@
     def __init__(self, me: Self, keys: Keys, pace: Pace, rng: random.Random, now: float) -> None:
         self.keys, self.pace, self.rng, self.seeds = keys, pace, rng, me.seeds
         place = me.place
-        news = News(me.name, me.incarnation, me.life, 0, int(State.ALIVE), *me.address, place.site,
-                    place.building, place.hall)
+        news = News(
+            me.name,
+            me.incarnation,
+            me.life,
+            0,
+            int(State.ALIVE),
+            *me.address,
+            place.site,
+            place.building,
+            place.hall,
+        )
         self.events: list[Event] = []
         self.out: list[tuple[Address, bytes]] = []
         self.syncs: list[str] = []
@@ -193,8 +203,7 @@
                 self.hello(now, seed)
         if now >= self._reconnect_at:
             self._reconnect_at = now + self.pace.reconnect * (0.5 + self.rng.random())
-            dead = [name for name in self.table.gone
-                    if self.table.records[name].news.state == State.DEAD]
+            dead = [name for name in self.table.gone if self.table.records[name].news.state == State.DEAD]
             if dead:
                 record = self.table.records[self.rng.choice(dead)]
                 self.send(now, record, Ping(self.detector.seq()))
@@ -234,8 +243,9 @@
         """To whoever is at the address."""
         self._send(now, address, b"", Ping(self.detector.seq()), [Raw(encode(self.table.me))], False)
 
-    def _send(self, now: float, address: Address, life: bytes, message: Message | None, news: list[Raw],
-              rest: bool) -> None:
+    def _send(
+        self, now: float, address: Address, life: bytes, message: Message | None, news: list[Raw], rest: bool
+    ) -> None:
         me, told, front, news = self.table.me, [], news, []
         room = MOST_DATAGRAM - size_of(me.name, message)
         for piece in front:
@@ -250,8 +260,12 @@
             if message is None and not news and not told:
                 return
         self._count += 1
-        self.out.append((address, seal(self.keys, (me.name, me.incarnation, me.life), self._count, life,
-                                       message, news, told)))
+        self.out.append(
+            (
+                address,
+                seal(self.keys, (me.name, me.incarnation, me.life), self._count, life, message, news, told),
+            )
+        )
 
     # ---- what comes in --------------------------------------------------------------------------------
 
@@ -354,9 +368,14 @@
         name = self.table.me.name
         self.table.restate(now, state=int(State.LEFT))
         rival = self.names.rival
-        self._send(now, rival.address, rival.life, Present(0, self.names.first), [Raw(encode(self.table.me))],
-                   False)
+        self._send(
+            now, rival.address, rival.life, Present(0, self.names.first), [Raw(encode(self.table.me))], False
+        )
         for record in self.table.draw(4 * self.pace.fanout):
             self.send(now, record, None)
-        self.events.append(Renamed(self.table.me.incarnation, NameTrouble(
-            f"a process at {elder} has the name {name} too, and had it before")))
+        self.events.append(
+            Renamed(
+                self.table.me.incarnation,
+                NameTrouble(f"a process at {elder} has the name {name} too, and had it before"),
+            )
+        )
--- a/aspenrill/fleet/peers/rumours.py
+++ b/aspenrill/fleet/peers/rumours.py
@@ -1,4 +1,5 @@
 """What is still to be told: least told first, and of those the newest; each a bounded number of times."""
+
 from __future__ import annotations
 
 import math
--- a/aspenrill/fleet/peers/table.py
+++ b/aspenrill/fleet/peers/table.py
@@ -6,6 +6,7 @@
 just been heard, or where the report comes with a whole exchange: two halves of a fleet that meet again do not
 end each other.
 """
+
 from __future__ import annotations
 
 import random
@@ -62,8 +63,13 @@
 class Table:
     """All members but this process itself by name; `changed` is called with each change a part may see."""
 
-    def __init__(self, me: News, rng: random.Random, changed: Callable[[Member], None],
-                 about_me: Callable[[float, News], None]) -> None:
+    def __init__(
+        self,
+        me: News,
+        rng: random.Random,
+        changed: Callable[[Member], None],
+        about_me: Callable[[float, News], None],
+    ) -> None:
         self.me, self.rng = me, rng
         self.records: dict[str, Record] = {}
         self.rumours = Rumours(LASTS)
@@ -126,8 +132,12 @@
             if rank == known and record.suspicion is not None and news.accuser:
                 self._confirm(now, record, news.accuser)
             return
-        if (news.state == State.DEAD and record.there and news.life == mine.life
-                and (exchange or now - record.heard < FRESH)):
+        if (
+            news.state == State.DEAD
+            and record.there
+            and news.life == mine.life
+            and (exchange or now - record.heard < FRESH)
+        ):
             news = structs.replace(news, state=int(State.SUSPECT), accuser="")
             if news.rank <= known:
                 return
@@ -189,8 +199,9 @@
     def suspect(self, now: float, record: Record, witnesses: set[str]) -> None:
         """This process has probed it in vain; so have the witnesses, for this process."""
         if record.suspicion is None:
-            self.adopt(now, record, structs.replace(record.news, state=int(State.SUSPECT),
-                                                    accuser=self.me.name))
+            self.adopt(
+                now, record, structs.replace(record.news, state=int(State.SUSPECT), accuser=self.me.name)
+            )
         suspicion = record.suspicion
         if not suspicion.mine:
             suspicion.mine, suspicion.since, suspicion.verify_at = True, now, now
--- a/aspenrill/fleet/peers/wire.py
+++ b/aspenrill/fleet/peers/wire.py
@@ -5,6 +5,7 @@
 means nothing to another one, nor after a restart; within a life, each sender's counter tells what came
 before.
 """
+
 from __future__ import annotations
 
 from collections import OrderedDict
@@ -56,8 +57,14 @@
 
     def member(self) -> Member:
         """As parts see it."""
-        return Member(self.name, self.incarnation, self.host, self.port,
-                      Place(self.site, self.building, self.hall), State(self.state))
+        return Member(
+            self.name,
+            self.incarnation,
+            self.host,
+            self.port,
+            Place(self.site, self.building, self.hall),
+            State(self.state),
+        )
 
 
 class Told(Struct, array_like=True, frozen=True):
@@ -157,8 +164,15 @@
 _decode = msgspec.msgpack.Decoder(Packet).decode
 
 
-def seal(keys: Keys, sender: tuple[str, int, bytes], count: int, to: bytes, message: Message | None,
-         news: list[Raw], told: list[Raw]) -> bytes:
+def seal(
+    keys: Keys,
+    sender: tuple[str, int, bytes],
+    count: int,
+    to: bytes,
+    message: Message | None,
+    news: list[Raw],
+    told: list[Raw],
+) -> bytes:
     """A datagram. ValueError where it is too large: what is put into it is measured before."""
     body = encode(_Sealed(*sender, count, to, message, news, told))
     head = VERSION + keys.first.id
@@ -176,7 +190,7 @@
         raise WireTrouble("cut")
     if data[:1] != VERSION:
         raise WireTrouble("version")
-    head, mac, body = data[:1 + KEY_ID], data[1 + KEY_ID:HEAD], data[HEAD:]
+    head, mac, body = data[: 1 + KEY_ID], data[1 + KEY_ID : HEAD], data[HEAD:]
     key = keys.by_id.get(head[1:])
     if key is None:
         raise WireTrouble("key")
--- a/aspenrill/fleet/purges/flows.py
+++ b/aspenrill/fleet/purges/flows.py
@@ -1,5 +1,6 @@
 """An origin's purges on their way down through this process, and what it says upward: messages, without
 leases."""
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -56,8 +57,11 @@
             return message.origin == self.view.name
         branch = member.name if level == BUILDING else member.place.building
         flow = self.relay.heard(level, branch, message)
-        if flow is not None and flow.said < flow.last and all(
-                known.position >= flow.last for known in flow.branches.values()):
+        if (
+            flow is not None
+            and flow.said < flow.last
+            and all(known.position >= flow.last for known in flow.branches.values())
+        ):
             self._sum_up(level, message.origin, flow)
         return False
 
--- a/aspenrill/fleet/purges/folder.py
+++ b/aspenrill/fleet/purges/folder.py
@@ -3,6 +3,7 @@
 A file is read at SIGHUP, and renamed to `.done` once its purge is on disk (`Accepted`). A crash between the
 two has the file read again: the same purge by its tag, or once more if it was complete, which does no harm.
 """
+
 from __future__ import annotations
 
 import json
--- a/aspenrill/fleet/purges/leases.py
+++ b/aspenrill/fleet/purges/leases.py
@@ -10,6 +10,7 @@
 that it has given and that is not over was either granted under it or later, or has its holder's
 acknowledgement.
 """
+
 from __future__ import annotations
 
 from collections import deque
@@ -114,8 +115,9 @@
         holder.grant(until, serial)
         return seconds
 
-    def acknowledged(self, who: tuple[str, int], seen: int, cleared: int, holders: int, late: int,
-                     names: list[str]) -> None:
+    def acknowledged(
+        self, who: tuple[str, int], seen: int, cleared: int, holders: int, late: int, names: list[str]
+    ) -> None:
         """A holder says how far it and all below it are clear."""
         holder = self.below.get(who)
         if holder is None:
--- a/aspenrill/fleet/purges/orders.py
+++ b/aspenrill/fleet/purges/orders.py
@@ -1,10 +1,11 @@
 """An operator's purge as a TOML file says it; free of I/O.
 
-    what = "group"       # or "class", or "all"
-    group = 17           # with "group"
-    class = "lookup"     # with "class"
-    why = "prices of March were corrected"
+what = "group"       # or "class", or "all"
+group = 17           # with "group"
+class = "lookup"     # with "class"
+why = "prices of March were corrected"
 """
+
 from __future__ import annotations
 
 import tomllib
@@ -49,8 +50,11 @@
         top.fault("class", "a name of at most 64 characters is wanted")
     if faults:
         raise PurgeFileTrouble(f"{name}: {'; '.join(faults)}")
-    return Order(scope, f"operator: {why}" if why else "operator",
-                 xxhash.xxh3_128_hexdigest(name.encode(errors="surrogateescape") + b"\0" + content))
+    return Order(
+        scope,
+        f"operator: {why}" if why else "operator",
+        xxhash.xxh3_128_hexdigest(name.encode(errors="surrogateescape") + b"\0" + content),
+    )
 
 
 def _whole(row: Reader, name: str) -> int:
--- a/aspenrill/fleet/purges/origin.py
+++ b/aspenrill/fleet/purges/origin.py
@@ -5,6 +5,7 @@
 majority, under a serial), complete (and no lease is left under which an older answer could be served). What
 is not complete is repeated, and goes on after a restart under its old id.
 """
+
 from __future__ import annotations
 
 from collections import deque
@@ -102,8 +103,13 @@
             elif key.startswith(PREFIX):
                 saved = wire.saved(stored[key])
                 if saved is None or saved.incarnation > self.incarnation:
-                    effects += [Note(f"fleet-state: record {key} is damaged and was refused whole; all is "
-                                     "purged in its place"), Store(key, None)]
+                    effects += [
+                        Note(
+                            f"fleet-state: record {key} is damaged and was refused whole; all is "
+                            "purged in its place"
+                        ),
+                        Store(key, None),
+                    ]
                     again.append(ALL)
                     continue
                 item = (saved.incarnation, saved.number, saved.scope)
@@ -232,8 +238,10 @@
                 purge.complete = now
                 del self.out[purge.position]
                 self.past.append(purge)
-                effects += [Store(_key(purge.position), None),
-                            Inform(Complete(self.name, *purge.item, purge.tag))]
+                effects += [
+                    Store(_key(purge.position), None),
+                    Inform(Complete(self.name, *purge.item, purge.tag)),
+                ]
         return effects
 
 
--- a/aspenrill/fleet/purges/part.py
+++ b/aspenrill/fleet/purges/part.py
@@ -4,6 +4,7 @@
 It applies purges to the process's store itself, within the call that hears of them: what it acknowledges is
 done.
 """
+
 from __future__ import annotations
 
 import random
@@ -36,8 +37,9 @@
     kinds = ("purge",)
     period = 0.1
 
-    def __init__(self, rng: random.Random, store: Store, authority: Authority, lease: float = 6.0,
-                 keeps: bool = True) -> None:
+    def __init__(
+        self, rng: random.Random, store: Store, authority: Authority, lease: float = 6.0, keeps: bool = True
+    ) -> None:
         self.rng, self.store, self.authority, self.lease, self.keeps = rng, store, authority, lease, keeps
         self.seen = 0  # the serial up to which all agreed purges are applied here
         self.recent: deque[str] = deque(maxlen=MOST_RECENT)  # the scopes of the serials up to it
@@ -112,8 +114,12 @@
 
     def on_disk(self, now: float, key: str) -> list[Effect]:
         self.origin.on_disk()
-        return [Note(f"fleet-disk: record {key} could not be written; the purge goes on, and the record is "
-                     "tried again; make room on the disk of [fleet] state")]
+        return [
+            Note(
+                f"fleet-disk: record {key} could not be written; the purge goes on, and the record is "
+                "tried again; make room on the disk of [fleet] state"
+            )
+        ]
 
     def on_leave(self, now: float) -> list[Effect]:
         self._open()
@@ -359,4 +365,4 @@
 
     def _tell(self, origin: str, told: Told) -> None:
         for at in range(0, len(told.items), wire.MOST_TOLD):
-            self._send(origin, Told(told.items[at:at + wire.MOST_TOLD]))
+            self._send(origin, Told(told.items[at : at + wire.MOST_TOLD]))
--- a/aspenrill/fleet/purges/root.py
+++ b/aspenrill/fleet/purges/root.py
@@ -5,6 +5,7 @@
 record has a serial of this part's own, without gaps, so that who has missed one knows it. With the office
 all of this is lost; origins say again what they want, and a purge that is agreed twice does no harm.
 """
+
 from __future__ import annotations
 
 from collections import OrderedDict
--- a/aspenrill/fleet/purges/spread.py
+++ b/aspenrill/fleet/purges/spread.py
@@ -4,6 +4,7 @@
 A relay keeps no timers: the origin repeats what is not acknowledged, and each repeat goes on to those below
 that have not answered. Repeats and disorder change nothing: positions only rise.
 """
+
 from __future__ import annotations
 
 from collections import OrderedDict
@@ -63,8 +64,9 @@
             self.applied.popitem(last=False)
         return found
 
-    def came(self, level: int, origin: str, above: str, purges: list[Item],
-             below: dict[str, int]) -> list[str]:
+    def came(
+        self, level: int, origin: str, above: str, purges: list[Item], below: dict[str, int]
+    ) -> list[str]:
         """Purges have come from above; `below`: members by branch. Gives the branches to be sent them."""
         flow = self.flows.get((level, origin))
         if flow is None:
@@ -75,8 +77,9 @@
         flow.above = above
         if purges[-1][:2] >= flow.last:
             flow.purges = purges
-        flow.branches = {name: flow.branches.get(name) or Branch(total=count)
-                         for name, count in below.items()}
+        flow.branches = {
+            name: flow.branches.get(name) or Branch(total=count) for name, count in below.items()
+        }
         lacking = [name for name, branch in flow.branches.items() if branch.position < flow.last]
         for name in lacking:
             flow.branches[name].tries += 1
--- a/aspenrill/fleet/purges/tree.py
+++ b/aspenrill/fleet/purges/tree.py
@@ -4,6 +4,7 @@
 members agree without a word, and a member that goes moves only what it did. Members that are suspected come
 last.
 """
+
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
--- a/aspenrill/fleet/purges/wire.py
+++ b/aspenrill/fleet/purges/wire.py
@@ -4,6 +4,7 @@
 2 of a site, 3 the coordinator or a purge's origin. A serial is the number of a purge that is agreed, without
 gaps.
 """
+
 from __future__ import annotations
 
 from typing import Annotated
--- a/aspenrill/fleet/service.py
+++ b/aspenrill/fleet/service.py
@@ -1,4 +1,5 @@
 """The fleet's side of one process: the peers and the parts on the hub, and their effects carried out."""
+
 from __future__ import annotations
 
 import os
@@ -97,9 +98,14 @@
     """Runs peers and parts. Facts of the parts go to `inform(part's name, fact)`, changes of members also to
     `watch`. `fenced`: an elder process has this one's name; parts are called no more, leases run out."""
 
-    def __init__(self, hub: Hub, config: Config, parts: Sequence[Part],
-                 inform: Callable[[str, Any], None] = lambda part, fact: None,
-                 watch: Callable[[Member], None] = lambda member: None) -> None:
+    def __init__(
+        self,
+        hub: Hub,
+        config: Config,
+        parts: Sequence[Part],
+        inform: Callable[[str, Any], None] = lambda part, fact: None,
+        watch: Callable[[Member], None] = lambda member: None,
+    ) -> None:
         self.hub, self.config, self.parts, self.inform, self.watch = hub, config, tuple(parts), inform, watch
         self.log = Limited(hub.log, boottime)
         self.faults = 0
@@ -114,8 +120,12 @@
             raise
         address = config.advertise or self.link.address
         self.peers = self.link.peers = Peers(
-            Self(config.name, incarnation, os.urandom(LIFE), address, config.place, config.seeds), keys,
-            config.pace, random.Random(os.urandom(16)), boottime())
+            Self(config.name, incarnation, os.urandom(LIFE), address, config.place, config.seeds),
+            keys,
+            config.pace,
+            random.Random(os.urandom(16)),
+            boottime(),
+        )
         self.view = Seen(self.peers)
         self._by_name = {part.name: part for part in self.parts}
         self._tick_at = dict.fromkeys(self._by_name, 0.0)
@@ -152,8 +162,10 @@
     def start(self) -> None:
         """Parts first, then the peers. Effects of the parts' starts are carried out once all have started, so
         that none hears of an agreed record before. StateTrouble where a part's records are damaged."""
-        self.hub.log(f"fleet: {self.config.name} at {self.address[0]}:{self.address[1]}, "
-                     f"incarnation {self.view.incarnation}")
+        self.hub.log(
+            f"fleet: {self.config.name} at {self.address[0]}:{self.address[1]}, "
+            f"incarnation {self.view.incarnation}"
+        )
         started: list[tuple[Part, list[Effect]]] = []
         try:
             for part in self.parts:
@@ -317,8 +329,12 @@
         self.peers.keys = read_keys(config.key_file, config.fleet)
         self.peers.seeds = config.seeds
         if (config.listen, config.advertise, config.place, config.voters, config.pace) != (
-                self.config.listen, self.config.advertise, self.config.place, self.config.voters,
-                self.config.pace):
+            self.config.listen,
+            self.config.advertise,
+            self.config.place,
+            self.config.voters,
+            self.config.pace,
+        ):
             self.hub.log("fleet: addresses, place, voters and times take effect at the next start")
         self.hub.log("fleet: keys and seeds read again")
 
@@ -346,11 +362,19 @@
     def counters(self) -> dict[str, int]:
         """What has been counted since the start."""
         peers, link = self.peers, self.link
-        return {"members": len(peers.table), "sent": link.sent, "unsent": link.unsent, "got": link.got,
-                "exchanges": link.exchanges, "failed exchanges": link.failed_exchanges,
-                "failed probes": peers.detector.failed, "deaths": peers.detector.deaths,
-                "false alarms": peers.detector.false_alarms, "faults": self.faults,
-                **{f"refused: {reason}": count for reason, count in sorted(peers.refused.items())}}
+        return {
+            "members": len(peers.table),
+            "sent": link.sent,
+            "unsent": link.unsent,
+            "got": link.got,
+            "exchanges": link.exchanges,
+            "failed exchanges": link.failed_exchanges,
+            "failed probes": peers.detector.failed,
+            "deaths": peers.detector.deaths,
+            "false alarms": peers.detector.false_alarms,
+            "faults": self.faults,
+            **{f"refused: {reason}": count for reason, count in sorted(peers.refused.items())},
+        }
 
     def _log_refused(self) -> None:
         """One line for each reason to refuse that is new, a few in a minute."""
--- a/aspenrill/fleet/tell.py
+++ b/aspenrill/fleet/tell.py
@@ -1,4 +1,5 @@
 """What the decision modules tell each other: the latest of each front end, as an entry that spreads."""
+
 from __future__ import annotations
 
 from collections.abc import Mapping
--- a/aspenrill/fleet/whole.py
+++ b/aspenrill/fleet/whole.py
@@ -1,4 +1,5 @@
 """Files that are written whole or not at all."""
+
 from __future__ import annotations
 
 import contextlib
--- a/aspenrill/fronts/tds.py
+++ b/aspenrill/fronts/tds.py
@@ -1,4 +1,5 @@
 """The TDS front: one request at a time on a connection, cancelled by Attention."""
+
 from __future__ import annotations
 
 import hashlib
@@ -171,8 +172,9 @@
             raise Closed("login refused")
         self.login, self.mapping = login, mapping
         self.conn.spoke, self.conn.used = True, time.monotonic()
-        self.conn.write(tds.packets(tds.REPLY, tds.login_answer(login, self.service.name)),
-                        time.monotonic() + LOGIN_FOR)
+        self.conn.write(
+            tds.packets(tds.REPLY, tds.login_answer(login, self.service.name)), time.monotonic() + LOGIN_FOR
+        )
 
     def _message(self) -> None:
         if self.conn.draining:
@@ -188,8 +190,9 @@
         elif kind == tds.SQL_BATCH:
             self._batch(tds.read_sql_batch(body), arrived)
         else:
-            self._say([tds.error(UNSUPPORTED, f"messages of type {kind} are not taken here"),
-                       tds.done(tds.BAD)])
+            self._say(
+                [tds.error(UNSUPPORTED, f"messages of type {kind} are not taken here"), tds.done(tds.BAD)]
+            )
 
     def _attend(self) -> None:
         """Cancel: what is open loses its client, what is being written ends early; one acknowledgement."""
@@ -212,8 +215,17 @@
             self._say([tds.error(UNUSABLE, str(why)), tds.done(tds.BAD)])
             return
         patience = max(0.0, mapping.timeout - self.service.hub.lag())
-        self.call = Call(os.urandom(8).hex(), mapping.cls, mapping.tenant, statement.encode("utf-8"), key,
-                         table_group(statement), arrived, patience, self._answer)
+        self.call = Call(
+            os.urandom(8).hex(),
+            mapping.cls,
+            mapping.tenant,
+            statement.encode("utf-8"),
+            key,
+            table_group(statement),
+            arrived,
+            patience,
+            self._answer,
+        )
         self.conn.busy += 1
         self.service.post(Asked(self.call))
 
@@ -254,8 +266,9 @@
         def send(data: bytes, last: bool) -> None:
             nonlocal number
             number += 1
-            head = tds.HEAD.pack(tds.REPLY, tds.END_OF_MESSAGE if last else 0, tds.HEAD.size + len(data), 0,
-                                 number & 0xFF, 0)
+            head = tds.HEAD.pack(
+                tds.REPLY, tds.END_OF_MESSAGE if last else 0, tds.HEAD.size + len(data), 0, number & 0xFF, 0
+            )
             self.conn.write(head + data, time.monotonic() + WRITE_FOR)
 
         try:
--- a/aspenrill/fronts/thrift.py
+++ b/aspenrill/fronts/thrift.py
@@ -1,4 +1,5 @@
 """The platform's front: framed Thrift, up to 32 open requests a connection."""
+
 from __future__ import annotations
 
 import re
@@ -32,9 +33,17 @@
 class Service:
     """What the connections of this front share."""
 
-    def __init__(self, hub: Hub, classes: list[str], keyed: list[bool], tenants: list[str],
-                 post: Callable[[Any], None], well: Callable[[], bool],
-                 shed_after: tuple[float, ...] | None = None, come_back: float = 0.0) -> None:
+    def __init__(
+        self,
+        hub: Hub,
+        classes: list[str],
+        keyed: list[bool],
+        tenants: list[str],
+        post: Callable[[Any], None],
+        well: Callable[[], bool],
+        shed_after: tuple[float, ...] | None = None,
+        come_back: float = 0.0,
+    ) -> None:
         self.shed_after = shed_after  # by class: how far behind the module takes no more of it
         self.shed_least = min(shed_after, default=0.0) if shed_after else float("inf")
         self.shed = {"holdoff": str(round(come_back * 1000))} if come_back > 0 else {}
@@ -115,7 +124,7 @@
             return
         data, at = inbox.peek(len(inbox)), 0
         while at + 4 <= len(data):
-            start, at = at + 4, at + 4 + int.from_bytes(data[at:at + 4], "big")
+            start, at = at + 4, at + 4 + int.from_bytes(data[at : at + 4], "big")
             if start < at <= len(data) and data.startswith(FORGET, start):
                 try:
                     self._forget((thrift.read_message(data[start:at]).args or {}).get(1), ahead=True)
@@ -231,8 +240,11 @@
             self._say(thrift.thrown(name, seqid, 1, {"holdoff": str(HOLDOFF)}))
         else:
             fields = args.get(1)
-            texts = {k: v for k, v in fields.items() if isinstance(k, bytes) and isinstance(v, bytes)} if (
-                isinstance(fields, dict)) else None
+            texts = (
+                {k: v for k, v in fields.items() if isinstance(k, bytes) and isinstance(v, bytes)}
+                if (isinstance(fields, dict))
+                else None
+            )
             self._serve(seqid, texts, args.get(2), arrived)
 
     def _serve(self, seqid: int, fields: dict[bytes, bytes] | None, statement: Any, arrived: float) -> None:
@@ -272,9 +284,18 @@
             raise ValueError("opkey: cannot be passed on")
         if not statement.strip():
             raise ValueError("body: no statement")
-        return Call(ident.decode("ascii"), cls, tenant, statement, key and key.decode("ascii"),
-                    table_group(statement.decode("utf-8", "replace")), arrived,
-                    max(0.0, int(wait) / 1000 - MARGIN - service.hub.lag()), self._answer, tag=seqid)
+        return Call(
+            ident.decode("ascii"),
+            cls,
+            tenant,
+            statement,
+            key and key.decode("ascii"),
+            table_group(statement.decode("utf-8", "replace")),
+            arrived,
+            max(0.0, int(wait) / 1000 - MARGIN - service.hub.lag()),
+            self._answer,
+            tag=seqid,
+        )
 
     def _answer(self, call: Call, final: Final) -> None:
         seqid = call.tag
--- a/aspenrill/gathering.py
+++ b/aspenrill/gathering.py
@@ -1,4 +1,5 @@
 """Sources as configured, at work: resolvers, followers and the merged list, and how they change by SIGHUP."""
+
 from __future__ import annotations
 
 import time
@@ -20,8 +21,15 @@
 class Gathering:
     """Starts what the sources need, and changes it when they do."""
 
-    def __init__(self, hub: Hub, sources: Sources, kinds: tuple[str, ...], post: Callable[[Any], None],
-                 most_engines: int = MOST_ENGINES, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(
+        self,
+        hub: Hub,
+        sources: Sources,
+        kinds: tuple[str, ...],
+        post: Callable[[Any], None],
+        most_engines: int = MOST_ENGINES,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
         self.hub, self.kinds, self.sources = hub, kinds, sources
         self.membership = Membership(sources.rules, sources.specs, clock(), policy_of(sources))
         self.roster = Roster(hub, clock, self.membership, post, most_engines)
@@ -69,7 +77,24 @@
         if resolver is None:
             resolver = self.resolvers[spec] = Resolver(self.hub, spec.servers, spec.patience, spec.lifetimes)
         if source.type == "srv":
-            return Srv(self.hub, source.name, resolver, source.service, source.family, self.roster,
-                       source.kind, source.zone, source.tier)
-        return DnsSd(self.hub, source.name, resolver, source.service, source.family, self.roster, self.kinds,
-                     source.tier)
+            return Srv(
+                self.hub,
+                source.name,
+                resolver,
+                source.service,
+                source.family,
+                self.roster,
+                source.kind,
+                source.zone,
+                source.tier,
+            )
+        return DnsSd(
+            self.hub,
+            source.name,
+            resolver,
+            source.service,
+            source.family,
+            self.roster,
+            self.kinds,
+            source.tier,
+        )
--- a/aspenrill/members.py
+++ b/aspenrill/members.py
@@ -1,4 +1,5 @@
 """The list of engines as every source tells it and the owner hears it: plain records, no decisions."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass
--- a/aspenrill/membership/addresses.py
+++ b/aspenrill/membership/addresses.py
@@ -1,4 +1,5 @@
 """Which addresses engines may have: sets of networks, IPv4 and IPv6, by netaddr."""
+
 from __future__ import annotations
 
 from collections import OrderedDict
@@ -43,7 +44,8 @@
             except (AddrFormatError, ValueError):
                 return False
             found = self._known[host] = (self.allow is None or address in self.allow) and (
-                address not in self.deny)
+                address not in self.deny
+            )
             if len(self._known) > REMEMBERED:
                 self._known.popitem(last=False)
         return found
--- a/aspenrill/membership/engine.py
+++ b/aspenrill/membership/engine.py
@@ -1,4 +1,5 @@
 """An engine at its address, by all that sources say of it. No I/O."""
+
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
@@ -13,8 +14,20 @@
 class Engine:
     """One engine at its address, from its first mention until it is forgotten."""
 
-    __slots__ = ("id", "address", "says", "aliases", "started", "up", "known", "down_at", "flaps", "fit",
-                 "inside", "told")
+    __slots__ = (
+        "id",
+        "address",
+        "says",
+        "aliases",
+        "started",
+        "up",
+        "known",
+        "down_at",
+        "flaps",
+        "fit",
+        "inside",
+        "told",
+    )
 
     def __init__(self, ident: str, address: Address, damping: Damping) -> None:
         self.id, self.address = ident, address
@@ -43,8 +56,9 @@
         return replace(best[1], priority=stated[1].priority, weight=stated[1].weight)
 
 
-def free_id(member: Member, address: Address, ids: Mapping[str, Address],
-            engines: Mapping[Address, Engine]) -> str:
+def free_id(
+    member: Member, address: Address, ids: Mapping[str, Address], engines: Mapping[Address, Engine]
+) -> str:
     """The name of an engine at an address, as long as no other engine that is named has it."""
     ident, number = member.engine, 1
     while ids.get(ident, address) != address and ids[ident] in engines:
@@ -53,14 +67,18 @@
     return ident
 
 
-def explain(now: float, engines: Iterable[Engine], sources: Mapping[str, Source]
-            ) -> list[tuple[Member, bool, str, list[str]]]:
+def explain(
+    now: float, engines: Iterable[Engine], sources: Mapping[str, Source]
+) -> list[tuple[Member, bool, str, list[str]]]:
     """Each engine: as it stands, whether it is in, why, and by whom it is named."""
     rows = []
     for engine in sorted(engines, key=lambda e: e.id):
         top = engine.top(sources)
-        no = [f"{name} says that it {'drains' if m.state is DRAINING else 'is gone'}"
-              for name, m in engine.says.items() if m.state is not LIVE]
+        no = [
+            f"{name} says that it {'drains' if m.state is DRAINING else 'is gone'}"
+            for name, m in engine.says.items()
+            if m.state is not LIVE
+        ]
         if no:
             why = "; ".join(no)
         elif engine.flaps.held(now):
@@ -71,6 +89,12 @@
             why = "named live by " + ", ".join(engine.says)
         is_in = engine.up and engine.inside and not engine.flaps.held(now)
         state = LIVE if engine.up else DRAINING
-        rows.append((replace(top, engine=engine.id, state=state, started=engine.started), is_in, why,
-                     list(engine.says)))
+        rows.append(
+            (
+                replace(top, engine=engine.id, state=state, started=engine.started),
+                is_in,
+                why,
+                list(engine.says),
+            )
+        )
     return rows
--- a/aspenrill/membership/flaps.py
+++ b/aspenrill/membership/flaps.py
@@ -3,6 +3,7 @@
 No I/O; times are seconds and come in as arguments. After the route flap damping of RFC 2439, with a time that
 doubles in place of a penalty that decays: an operator can tell from the log when the engine is let in.
 """
+
 from __future__ import annotations
 
 from collections import deque
--- a/aspenrill/membership/once.py
+++ b/aspenrill/membership/once.py
@@ -1,4 +1,5 @@
 """What has been said once already, in bounded memory."""
+
 from __future__ import annotations
 
 from collections import OrderedDict
--- a/aspenrill/membership/rule.py
+++ b/aspenrill/membership/rule.py
@@ -17,6 +17,7 @@
 
 No I/O. Times are seconds of one clock that never goes back, and come in as arguments.
 """
+
 from __future__ import annotations
 
 import heapq
@@ -40,8 +41,13 @@
     from both. `due` tells when `tick` has something to do.
     """
 
-    def __init__(self, rules: Rules, specs: Sequence[Spec], now: float,
-                 allows: Callable[[str], bool] = lambda host: True) -> None:
+    def __init__(
+        self,
+        rules: Rules,
+        specs: Sequence[Spec],
+        now: float,
+        allows: Callable[[str], bool] = lambda host: True,
+    ) -> None:
         self.rules, self.allows = rules, allows
         self.sources: dict[str, Source] = {}
         self.engines: dict[Address, Engine] = {}
@@ -59,8 +65,13 @@
 
     # ---- what comes in --------------------------------------------------------------------------------
 
-    def configure(self, now: float, specs: Sequence[Spec], rules: Rules | None = None,
-                  allows: Callable[[str], bool] | None = None) -> None:
+    def configure(
+        self,
+        now: float,
+        specs: Sequence[Spec],
+        rules: Rules | None = None,
+        allows: Callable[[str], bool] | None = None,
+    ) -> None:
         """The sources in their order. One that is no longer among them is believed until each new one has
         spoken, but not for ever; engines and what is known of them stay."""
         if rules is not None:
@@ -118,8 +129,11 @@
             if member.state is GONE or not self._may(source, member):
                 continue
             other = source.said.get(member.address)
-            if other is not None and other.engine != member.engine and (
-                    STANDING[other.state] < STANDING[member.state]):
+            if (
+                other is not None
+                and other.engine != member.engine
+                and (STANDING[other.state] < STANDING[member.state])
+            ):
                 continue  # it drains where another is at work already: that one has its place
             self._say(now, source, member.address, member)
         self._spoken(now, source)
@@ -162,8 +176,11 @@
 
     def due(self, now: float) -> float | None:
         """When `tick` is wanted next."""
-        at = [due for due in (self.tiers.due(now), self._timers[0][0] if self._timers else None)
-              if due is not None]
+        at = [
+            due
+            for due in (self.tiers.due(now), self._timers[0][0] if self._timers else None)
+            if due is not None
+        ]
         return min(at, default=None)
 
     def take(self) -> tuple[Member, ...]:
@@ -189,14 +206,21 @@
             return False
         if member.address in self.engines or len(self.engines) < self.rules.most_engines:
             return True
-        self._once(source, "", f"source {source.spec.name}: more than {self.rules.most_engines} engines, "
-                   f"the rest is left out")
+        self._once(
+            source,
+            "",
+            f"source {source.spec.name}: more than {self.rules.most_engines} engines, the rest is left out",
+        )
         return False
 
     def _skip(self, source: Source, member: Member) -> None:
         host = member.address[0]
-        self._once(source, host, f"source {source.spec.name}: {member.engine} at {show(member.address)} is "
-                   f"skipped: the address is not allowed")
+        self._once(
+            source,
+            host,
+            f"source {source.spec.name}: {member.engine} at {show(member.address)} is "
+            f"skipped: the address is not allowed",
+        )
 
     def _once(self, source: Source, about: str, text: str) -> None:
         if self._skipped.first((source.spec.name, about)):
@@ -234,8 +258,11 @@
                 self._judge(now, engine)
             return
         before = engine or self.away.get(address)
-        if before is not None and source.spec.names_ids and (
-                before.aliases.get(name, member.engine) != member.engine):
+        if (
+            before is not None
+            and source.spec.names_ids
+            and (before.aliases.get(name, member.engine) != member.engine)
+        ):
             self._replace(now, before, source)
             engine = before = None
         if engine is None:
@@ -257,8 +284,9 @@
 
     def _replace(self, now: float, engine: Engine, source: Source) -> None:
         """Another engine is at its address: this one is gone, whoever named it."""
-        self.notes.append(f"engine {engine.id} at {show(engine.address)}: another has its place, as "
-                          f"{source.spec.name} says")
+        self.notes.append(
+            f"engine {engine.id} at {show(engine.address)}: another has its place, as {source.spec.name} says"
+        )
         self.engines.pop(engine.address, None)
         self.away.pop(engine.address, None)
         self.tiers.remove(engine.address)
@@ -303,13 +331,15 @@
             return
         held = engine.flaps.held(now)
         first = source is not None and source.first
-        engine.inside = self.tiers.put(now, engine.address, top.priority, up and not held and engine.fit,
-                                       top.weight or 0.0, first)
+        engine.inside = self.tiers.put(
+            now, engine.address, top.priority, up and not held and engine.fit, top.weight or 0.0, first
+        )
         self._tell(engine, LIVE if up and not held and engine.inside else DRAINING, top)
 
     def _held(self, engine: Engine, now: float) -> None:
-        self.notes.append(f"engine {engine.id} comes and goes: held out for "
-                          f"{engine.flaps.held_until - now:.0f} s")
+        self.notes.append(
+            f"engine {engine.id} comes and goes: held out for {engine.flaps.held_until - now:.0f} s"
+        )
         self._timer(engine.flaps.held_until, "hold", engine.address)
 
     def _hold_over(self, now: float, address: Address) -> None:
@@ -339,8 +369,17 @@
             return
         if top is None:
             top = engine.told
-        now = Member(engine.id, engine.address, state, top.zone, top.kind, top.cell, engine.started,
-                     top.priority, top.weight)
+        now = Member(
+            engine.id,
+            engine.address,
+            state,
+            top.zone,
+            top.kind,
+            top.cell,
+            engine.started,
+            top.priority,
+            top.weight,
+        )
         if now != engine.told:
             self._news.pop(engine.id, None)
             self._news[engine.id] = now
--- a/aspenrill/membership/rules.py
+++ b/aspenrill/membership/rules.py
@@ -1,4 +1,5 @@
 """The figures of the rule by which sources make a list."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
--- a/aspenrill/membership/source.py
+++ b/aspenrill/membership/source.py
@@ -4,6 +4,7 @@
 
 No I/O. Times are seconds of one clock that never goes back, and come in as arguments.
 """
+
 from __future__ import annotations
 
 from collections.abc import Iterable
@@ -50,8 +51,9 @@
             self.said[address] = member
             self.where[member.engine] = address
 
-    def withdraws(self, missing: list[Address], asked: float, confirm: float
-                  ) -> tuple[list[Address], str | None, bool]:
+    def withdraws(
+        self, missing: list[Address], asked: float, confirm: float
+    ) -> tuple[list[Address], str | None, bool]:
         """Which of those missing from a list it withdraws, a line for the log, and whether it must look
         again. `asked`: when what the list rests on was learned; `confirm`: seconds to a second look."""
         name, doubted = self.spec.name, self.doubted
@@ -67,8 +69,14 @@
             self.doubted = set()
             return sure, f"source {name}: a second look finds the same {len(sure)} missing", False
         self.doubted, self.doubted_at = set(missing), asked
-        return sure, (f"source {name}: {len(missing)} of {len(self.said)} missing at once, "
-                      f"to be confirmed by a second look"), True
+        return (
+            sure,
+            (
+                f"source {name}: {len(missing)} of {len(self.said)} missing at once, "
+                f"to be confirmed by a second look"
+            ),
+            True,
+        )
 
 
 def precedence(member: Member) -> tuple[int, int, float, float]:
--- a/aspenrill/membership/tiers.py
+++ b/aspenrill/membership/tiers.py
@@ -7,6 +7,7 @@
 
 No I/O; times come in as arguments. A step costs as much as there are tiers, a change the log of its tier.
 """
+
 from __future__ import annotations
 
 import heapq
@@ -97,8 +98,9 @@
         self.places: dict[Address, Tier] = {}
         self.notes: list[str] = []
 
-    def put(self, now: float, address: Address, priority: int, usable: bool, weight: float,
-            at_once: bool) -> bool:
+    def put(
+        self, now: float, address: Address, priority: int, usable: bool, weight: float, at_once: bool
+    ) -> bool:
         """An engine as it is now; whether it is inside. `at_once`: one of a source's first list, which may
         have been at work all along, or of the tier that is first."""
         tier = self.places.get(address)
--- a/aspenrill/net/address.py
+++ b/aspenrill/net/address.py
@@ -1,4 +1,5 @@
 """Numeric addresses, IPv4 and IPv6, as text and as sockets want them."""
+
 from __future__ import annotations
 
 import socket
--- a/aspenrill/net/conn.py
+++ b/aspenrill/net/conn.py
@@ -1,4 +1,5 @@
 """A TCP connection with one bounded buffer a direction; every wait on it has its time."""
+
 from __future__ import annotations
 
 import contextlib
@@ -207,7 +208,7 @@
         size, inbox = self._up_to(b"\r\n\r\n", until), self.incoming
         if not inbox.data:
             return inbox.pull(size).decode("latin-1")
-        text = str(memoryview(inbox.data)[inbox.at:inbox.at + size], "latin-1")
+        text = str(memoryview(inbox.data)[inbox.at : inbox.at + size], "latin-1")
         inbox.drop(size)
         return text
 
@@ -310,7 +311,7 @@
             return b"".join(parts)
         at = 0
         while at < len(parts):
-            some = parts[at:at + MOST_PARTS] if len(parts) > MOST_PARTS else parts
+            some = parts[at : at + MOST_PARTS] if len(parts) > MOST_PARTS else parts
             count = self._send(some[0]) if len(some) == 1 else self._pass(self.sock.sendmsg, some)
             if count < sum(map(len, some)):
                 return _beyond(parts[at:], count)
@@ -346,13 +347,14 @@
     """What lies behind the first bytes of some parts."""
     for at, part in enumerate(parts):
         if count < len(part):
-            return b"".join([part[count:], *parts[at + 1:]])
+            return b"".join([part[count:], *parts[at + 1 :]])
         count -= len(part)
     return b""
 
 
-def connect(hub: Hub, address: tuple[str, int], until: float, ring: int = RING,
-            source: str | None = None) -> Connection:
+def connect(
+    hub: Hub, address: tuple[str, int], until: float, ring: int = RING, source: str | None = None
+) -> Connection:
     """A new connection, from the host `source` where it is given; Refused where none came up in time."""
     try:
         sock = socket.socket(family_of(address[0]), socket.SOCK_STREAM)
@@ -371,8 +373,9 @@
             hub.wait_fd(conn.fd, WRITE, left(until))
             code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if code:
-            raise Refused(errno.errorcode.get(code, str(code)), scarce=code in SCARCE,
-                          broken=code == errno.ECONNRESET)
+            raise Refused(
+                errno.errorcode.get(code, str(code)), scarce=code in SCARCE, broken=code == errno.ECONNRESET
+            )
     except (TimedOut, Closed):
         conn.close()
         raise Refused("no connection in time") from None
--- a/aspenrill/net/eventlog.py
+++ b/aspenrill/net/eventlog.py
@@ -2,6 +2,7 @@
 
 Their number is bounded, so that a flood costs little and hides nothing else.
 """
+
 from __future__ import annotations
 
 import time
@@ -13,8 +14,12 @@
 class EventLog:
     """Writes events through `write`. A flood of one name hides no other, and its cost is bounded."""
 
-    def __init__(self, write: Callable[[str], None], clock: Callable[[], float] = time.monotonic,
-                 most: int = MOST_PER_SECOND) -> None:
+    def __init__(
+        self,
+        write: Callable[[str], None],
+        clock: Callable[[], float] = time.monotonic,
+        most: int = MOST_PER_SECOND,
+    ) -> None:
         self._write, self._clock, self._most = write, clock, most
         self._windows: dict[str, _Window] = {}
 
--- a/aspenrill/net/hub.py
+++ b/aspenrill/net/hub.py
@@ -3,6 +3,7 @@
 A task waits in `park` only, each wait with a timer of its own. A wake-up names the wait it is for, so that
 one that comes late wakes nothing else.
 """
+
 from __future__ import annotations
 
 import select
--- a/aspenrill/net/inbox.py
+++ b/aspenrill/net/inbox.py
@@ -4,6 +4,7 @@
 come whole moves on into the ring, bounded as ever, and is filled up there. Never are both in use: bytes are
 read only where nothing is held, and the ring only once what was held has moved.
 """
+
 from __future__ import annotations
 
 from .ring import Ring
@@ -33,7 +34,7 @@
     def space(self) -> memoryview:
         """Where to read on into; what was held has moved into the ring."""
         if self.data:
-            self.ring.push(memoryview(self.data)[self.at:])
+            self.ring.push(memoryview(self.data)[self.at :])
             self.data, self.at = b"", 0
         return self.ring.space()
 
@@ -60,7 +61,7 @@
     def peek(self, count: int) -> bytes:
         """The oldest bytes, which stay."""
         if self.data:
-            return self.data[self.at:self.at + count]
+            return self.data[self.at : self.at + count]
         return self.ring.peek(count)
 
     def drop(self, count: int) -> None:
@@ -78,6 +79,6 @@
         """The oldest bytes, which go."""
         if not self.data:
             return self.ring.pull(count)
-        taken = self.data[self.at:self.at + count]
+        taken = self.data[self.at : self.at + count]
         self.drop(len(taken))
         return taken
--- a/aspenrill/net/listener.py
+++ b/aspenrill/net/listener.py
@@ -6,6 +6,7 @@
 for these, so that a new connection finds room at once. Those that clients never close are cut short where
 it does not.
 """
+
 from __future__ import annotations
 
 import contextlib
@@ -26,8 +27,19 @@
 AT_ONCE = 16  # connections accepted before others have their turn
 LINGER_FOR = 1.0  # seconds that the other side has to end a connection which we have ended
 LEAST_LINGER = 0.1  # of them, where another connection needs the place: a request may cross the end for 0.05
-NEXT_ONE = (errno.ECONNABORTED, errno.EINTR, errno.EPROTO, errno.ENETDOWN, errno.ENOPROTOOPT, errno.EHOSTDOWN,
-            errno.ENONET, errno.EHOSTUNREACH, errno.EOPNOTSUPP, errno.ENETUNREACH, errno.EPERM)
+NEXT_ONE = (
+    errno.ECONNABORTED,
+    errno.EINTR,
+    errno.EPROTO,
+    errno.ENETDOWN,
+    errno.ENOPROTOOPT,
+    errno.EHOSTDOWN,
+    errno.ENONET,
+    errno.EHOSTUNREACH,
+    errno.EOPNOTSUPP,
+    errno.ENETUNREACH,
+    errno.EPERM,
+)
 # what befell one connection that waited: accept(2) wants these treated as if there had been none
 ENDING_SHARE = 8  # one place in so many is for those that end: clients want a third of all, by the protocol
 
@@ -35,8 +47,9 @@
 class Listener:
     """Accepts connections and hands each to `serve`, in a task of its own that ends with it."""
 
-    def __init__(self, hub: Hub, address: tuple[str, int], serve: Callable[[Connection], None],
-                 most: int, name: str) -> None:
+    def __init__(
+        self, hub: Hub, address: tuple[str, int], serve: Callable[[Connection], None], most: int, name: str
+    ) -> None:
         self.hub, self.serve, self.most, self.name = hub, serve, most, name
         self.sock = socket.socket(family_of(address[0]), socket.SOCK_STREAM)
         try:
@@ -166,8 +179,12 @@
         if conn in self.connections:
             del self.connections[conn]
             if conn.end_reason:
-                self.hub.events.event("connection_closed", front=self.name, reason=conn.end_reason,
-                                      idle=time.monotonic() - conn.used)
+                self.hub.events.event(
+                    "connection_closed",
+                    front=self.name,
+                    reason=conn.end_reason,
+                    idle=time.monotonic() - conn.used,
+                )
             self._one_left.set()
         conn.close()
 
--- a/aspenrill/net/ring.py
+++ b/aspenrill/net/ring.py
@@ -1,4 +1,5 @@
 """A bounded ring of bytes: one for each direction of a connection."""
+
 from __future__ import annotations
 
 SPARE = 64  # buffers of one size that are kept for another use
@@ -51,13 +52,13 @@
         end = start + size
         if end <= self.capacity:
             return [view[start:end]] if size else []
-        return [view[start:], view[:end - self.capacity]]
+        return [view[start:], view[: end - self.capacity]]
 
     def space(self) -> memoryview:
         """The first free stretch; `added` says how much of it was filled."""
         view, at = self._buffer(), self._start + self._size
         if at >= self.capacity:
-            return view[at - self.capacity:self._start]
+            return view[at - self.capacity : self._start]
         return view[at:]
 
     def added(self, count: int) -> None:
@@ -68,7 +69,7 @@
 
     def data(self) -> memoryview:
         """The first stretch of what is held; `drop` says how much of it is done with."""
-        return self._buffer()[self._start:min(self._start + self._size, self.capacity)]
+        return self._buffer()[self._start : min(self._start + self._size, self.capacity)]
 
     def drop(self, count: int) -> None:
         """The oldest bytes are done with."""
@@ -82,7 +83,7 @@
         count = min(len(data), self.free)
         done = 0
         for part in self._views(self._start + self._size, count):
-            part[:] = data[done:done + len(part)]
+            part[:] = data[done : done + len(part)]
             done += len(part)
         self._size += count
         return count
@@ -93,8 +94,8 @@
             return b""
         end = self._start + min(count, self._size)
         if end <= self.capacity:
-            return bytes(self._view[self._start:end])
-        return b"".join((self._view[self._start:], self._view[:end - self.capacity]))
+            return bytes(self._view[self._start : end])
+        return b"".join((self._view[self._start :], self._view[: end - self.capacity]))
 
     def pull(self, count: int) -> bytes:
         """The oldest bytes, which go."""
--- a/aspenrill/net/scarcity.py
+++ b/aspenrill/net/scarcity.py
@@ -1,4 +1,5 @@
 """Calls that want what the system may lack for a moment: descriptors, memory, an address in use."""
+
 from __future__ import annotations
 
 import errno
--- a/aspenrill/net/timers.py
+++ b/aspenrill/net/timers.py
@@ -4,6 +4,7 @@
 every wait here is cancelled. One enter and cancel took 30 us among 300 pending timers, 99 us among 1,000 and
 291 us among 3,000; a loaded front end does some thousands of them a second. Here it is about 1 us.
 """
+
 from __future__ import annotations
 
 import heapq
--- a/aspenrill/net/wallclock.py
+++ b/aspenrill/net/wallclock.py
@@ -1,4 +1,5 @@
 """Notices steps of the machine's wall clock, for the people on call."""
+
 from __future__ import annotations
 
 import time
--- a/aspenrill/node.py
+++ b/aspenrill/node.py
@@ -1,4 +1,5 @@
 """One real front end, put together from its configuration: a node of the platform."""
+
 from __future__ import annotations
 
 import json
@@ -124,8 +125,10 @@
         except Malformed as why:
             raise ConfigError(f"known.items[{at}]: {why}") from None
         if (count := len(known[-1].members)) > most:
-            raise ConfigError(f"known.items[{at}]: a list of {count} engines, limits.memory_mb {memory} "
-                              f"takes {most} at most")
+            raise ConfigError(
+                f"known.items[{at}]: a list of {count} engines, limits.memory_mb {memory} "
+                f"takes {most} at most"
+            )
     try:
         seed = int(str(told.get("seed", "0")), 16)
     except ValueError:
@@ -135,23 +138,41 @@
         raise ConfigError(f"limits.sockets: expected 32 or more, got {sockets!r}")
     return Config(
         name=env.get("NODE_NAME") or str(told.get("name", "")),
-        listen=address(env.get("NODE_LISTEN") or want("listen", str), "listen"), seed=seed, sockets=sockets,
+        listen=address(env.get("NODE_LISTEN") or want("listen", str), "listen"),
+        seed=seed,
+        sockets=sockets,
         most_engines=most,
-        bulletin=address(want("bulletin", str), "bulletin"), known=tuple(known), last=told["known"]["no"],
-        settings=settings, classes=classes, tenants=tenants, kinds=kinds, idle_for=idle_for,
-        connect_for=connect_for)
+        bulletin=address(want("bulletin", str), "bulletin"),
+        known=tuple(known),
+        last=told["known"]["no"],
+        settings=settings,
+        classes=classes,
+        tenants=tenants,
+        kinds=kinds,
+        idle_for=idle_for,
+        connect_for=connect_for,
+    )
 
 
 class Node:
     """Owner, fronts and engines of one front end. `make` builds the side that speaks to engines."""
 
-    def __init__(self, hub: Hub, settings: api.Settings, seed: int, sockets: int, idle_for: float,
-                 connect_for: float, make: Callable[[Pools, Callable[[Any], None]], Engines],
-                 greet: Callable[[Connection, float], None] | None = None) -> None:
+    def __init__(
+        self,
+        hub: Hub,
+        settings: api.Settings,
+        seed: int,
+        sockets: int,
+        idle_for: float,
+        connect_for: float,
+        make: Callable[[Pools, Callable[[Any], None]], Engines],
+        greet: Callable[[Connection, float], None] | None = None,
+    ) -> None:
         self.hub, self.settings = hub, settings
         self.sockets = min(sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
-        self.pools = Pools(hub, int(self.sockets * ENGINE_SHARE), max(LEAST_IDLE, idle_for - IDLE_MARGIN),
-                           connect_for, greet)
+        self.pools = Pools(
+            hub, int(self.sockets * ENGINE_SHARE), max(LEAST_IDLE, idle_for - IDLE_MARGIN), connect_for, greet
+        )
         self.owner = Owner(hub, settings, seed, make(self.pools, self.post))
         self.fronts: list[tuple[Any, Listener]] = []
         self.reread: Callable[[], None] = lambda: None  # what SIGHUP does; ConfigError where it cannot
@@ -164,11 +185,13 @@
         """The only way to the owner."""
         self.owner.queue.put(event)
 
-    def listen(self, address: tuple[str, int], service: Any, name: str,
-               share: float = CLIENT_SHARE) -> Listener:
+    def listen(
+        self, address: tuple[str, int], service: Any, name: str, share: float = CLIENT_SHARE
+    ) -> Listener:
         """Open a front."""
-        listener = retry(lambda: Listener(self.hub, address, service.serve, int(self.sockets * share), name),
-                         START_FOR)
+        listener = retry(
+            lambda: Listener(self.hub, address, service.serve, int(self.sockets * share), name), START_FOR
+        )
         self.fronts.append((service, listener))
         return listener
 
@@ -199,21 +222,33 @@
         self.hub.log(f"left with {len(self.owner.open)} requests open")
         self.hub.stop()
 
-
     def _drained(self, until: float) -> None:
         """Wait until no client has a connection any more, or that moment of the monotonic clock."""
         while any(listener.open or listener.connections for _, listener in self.fronts) and (
-                time.monotonic() < until):
+            time.monotonic() < until
+        ):
             self.hub.sleep(0.01)
 
 
-def platform(hub: Hub, env: Mapping[str, str], tds_file: Path = TDS_FILE,
-             sources_file: Path = SOURCES_FILE, fleet_file: Path = FLEET_FILE) -> Node:
+def platform(
+    hub: Hub,
+    env: Mapping[str, str],
+    tds_file: Path = TDS_FILE,
+    sources_file: Path = SOURCES_FILE,
+    fleet_file: Path = FLEET_FILE,
+) -> Node:
     """A node of the platform: Thrift before it, HTTP engines behind it; TDS too, further sources of engines,
     and a fleet of front ends that know of each other, where their files say so."""
     config = read_config(env)
-    node = Node(hub, config.settings, config.seed, config.sockets, config.idle_for, config.connect_for,
-                lambda pools, post: HttpEngines(hub, pools, config.settings, config.classes, post))
+    node = Node(
+        hub,
+        config.settings,
+        config.seed,
+        config.sockets,
+        config.idle_for,
+        config.connect_for,
+        lambda pools, post: HttpEngines(hub, pools, config.settings, config.classes, post),
+    )
     node.owner.most_engines = config.most_engines
     gathering = _more_sources(hub, node, sources_file, config.kinds)
     starts = StartTimes(config.most_engines)
@@ -227,12 +262,24 @@
     for news in config.known:
         hear(news, node.owner.take)
     keyed = [c.effect is api.Effect.KEYED for c in config.settings.classes]
-    node.listen(config.listen, thrift.Service(hub, config.classes, keyed, config.tenants, node.post,
-                                              lambda: node.owner.well, shed_after(config.settings),
-                                              min(WATCH, config.settings.longest_come_back)), "thrift")
+    node.listen(
+        config.listen,
+        thrift.Service(
+            hub,
+            config.classes,
+            keyed,
+            config.tenants,
+            node.post,
+            lambda: node.owner.well,
+            shed_after(config.settings),
+            min(WATCH, config.settings.longest_come_back),
+        ),
+        "thrift",
+    )
     _extra_front(hub, node, tds_file, (config.classes, keyed, config.tenants))
-    bulletin = Bulletin(hub, config.bulletin, config.last,
-                        lambda news: hear(news, node.post), config.most_engines)
+    bulletin = Bulletin(
+        hub, config.bulletin, config.last, lambda news: hear(news, node.post), config.most_engines
+    )
     bulletin.start()
     regroup = _fleet(hub, node, fleet_file, config.classes, config.tenants)
 
@@ -273,8 +320,9 @@
         node.listen(found.listen, tds.Service(hub, found.logins, node.post, found.name), "tds", 0.05)
 
 
-def _fleet(hub: Hub, node: Node, path: Path, classes: Sequence[str] = (),
-           tenants: Sequence[str] = ()) -> Callable[[], None]:
+def _fleet(
+    hub: Hub, node: Node, path: Path, classes: Sequence[str] = (), tenants: Sequence[str] = ()
+) -> Callable[[], None]:
     """The other front ends, where the file has them on; what it gives reads the file again."""
     text = _enabled(path)
     if text is None:
--- a/aspenrill/policy/__init__.py
+++ b/aspenrill/policy/__init__.py
@@ -1,4 +1,5 @@
 """The decision module, a file for each concern; aspenrill/control.py puts them together."""
+
 from .admission import Admission
 from .choice import Choice
 from .outcomes import Outcomes
--- a/aspenrill/policy/admission.py
+++ b/aspenrill/policy/admission.py
@@ -1,4 +1,5 @@
 """Who may enter: the limit on what is held, the queue time-out, the entry gap on its ladder."""
+
 import math
 
 from .. import api
@@ -27,11 +28,11 @@
         size = self._size(query)
         beside = max(BESIDE * LADDER ** (-2 * self.rung), self.sparse)  # few entries, of which r is rough
         if self.rung and (self.news or size > beside and self._credit(ask.cls) <= 0):  # else under its share
-            small = self.news and size < LADDER ** -self.rung
+            small = self.news and size < LADDER**-self.rung
             if self.now < self.next_entry and not small or self.news and size > BESIDE:
                 return self._end(query, api.EndReason.ENTRY_GAP)  # uncounted: r must not see the gap's work
             pays = self._work(query) / self.mix.work if self.news else size  # there small ones pay too
-            self.next_entry = max(self.next_entry, self.now) + self.base_gap * LADDER ** self.rung * pays
+            self.next_entry = max(self.next_entry, self.now) + self.base_gap * LADDER**self.rung * pays
             self.next_entry = min(self.next_entry, self.now + WINDOW) if small else self.next_entry
         if self.news and self._tt(query) < 0 and learned.latency:
             return self._end(query, api.EndReason.TOO_LATE)  # it cannot be on time
@@ -65,8 +66,11 @@
             if self._tt(query) < 0 and self.now > query.asked_at + 2 * TICK:
                 self._end(query, api.EndReason.QUEUE_TIMEOUT, counted=True)
             elif kind not in blocked and self._has_turn(query):
-                waits = not self.news and self.now < query.asked_at + TICK and any(
-                    e.healthy and e.heard_at < query.asked_at for e in query.asked)  # not for one that hangs
+                waits = (
+                    not self.news
+                    and self.now < query.asked_at + TICK
+                    and any(e.healthy and e.heard_at < query.asked_at for e in query.asked)
+                )  # not for one that hangs
                 if not waits and not self._start(query):
                     if self.thin and self.now >= query.asked_at + FULL_FOR:
                         self._ask_some(query)
--- a/aspenrill/policy/choice.py
+++ b/aspenrill/policy/choice.py
@@ -1,4 +1,5 @@
 """Which engine takes a query: room under the thread cap, and the choice among those that have it."""
+
 import math
 
 from .. import api
@@ -50,8 +51,11 @@
         """Sparse: room at all warm engines together; what a class under its share waits for is no room."""
         learned, ahead = self.classes[query.ask.cls], 0
         own, urgent = learned.spec.threads, self._size(query) < 1 and self.set.priorities_heeded
-        warm = sum(self.classes[q.ask.cls].spec.threads for q in self.out.values()
-                   if q.engine.entry.state is api.EngineState.LIVE and self.now >= q.engine.cold_until)
+        warm = sum(
+            self.classes[q.ask.cls].spec.threads
+            for q in self.out.values()
+            if q.engine.entry.state is api.EngineState.LIVE and self.now >= q.engine.cold_until
+        )
         if self.held and self._credit(query.ask.cls) <= 0:
             others = {q.ask.cls for q in self.held.values()} - {query.ask.cls}
             ahead = max((self.classes[c].spec.threads for c in others if self._credit(c) > 0), default=0)
@@ -73,8 +77,11 @@
         fits = not self.sparse or self._fits(query)
         cold = self.random.sample(self.cold, min(LOOK, len(self.cold)))
         if self.sparse:
-            able = [e for e in self.homes
-                    if fits and e.healthy and self._allowed(query, e) and self._room(e, query, fits)]
+            able = [
+                e
+                for e in self.homes
+                if fits and e.healthy and self._allowed(query, e) and self._room(e, query, fits)
+            ]
             some = (able or some) * fits + cold
         answered = self.thin and [e for e in query.asked if e.heard_at >= query.asked_at or self.news]
         some = answered + cold if answered else some
--- a/aspenrill/policy/figures.py
+++ b/aspenrill/policy/figures.py
@@ -1,4 +1,5 @@
 """Figures that more than one concern of the decisions looks at. What acts when: docs/design.md."""
+
 WINDOW, FULL_FOR = 2.0, 1.0  # tm, seconds over which r is counted, and a change waits; of a full engine
 THREADS_A_CORE = 1.7  # limit under pressure: near where engines with many threads begin to lose work
 PRESSURE, OVERDUE = 1.7, 3.0  # slowdown of the fleet that presses; times the expected latency that is overdue
--- a/aspenrill/policy/outcomes.py
+++ b/aspenrill/policy/outcomes.py
@@ -1,4 +1,5 @@
 """What outcomes and notes bring: a further attempt or an end, and what they teach."""
+
 from .. import api
 from ..state import STEP, Engine, Query, blend
 from .figures import FULL_FOR, JAMMED, OVERDUE, TICK
--- a/aspenrill/policy/sending.py
+++ b/aspenrill/policy/sending.py
@@ -1,4 +1,5 @@
 """Sending under the guards of the rules, and the one final answer."""
+
 import math
 import zlib
 
@@ -14,13 +15,17 @@
     def _allowed(self, query: Query, engine: Engine) -> bool:
         """Every rule that a send must keep, each where its settings are present."""
         spec, entry = self.classes[query.ask.cls].spec, engine.entry
-        return (not query.ended and query.engine is None and self.now < query.deadline  # one answer, one out
-                and entry.state is api.EngineState.LIVE  # drains
-                and (spec.only_kinds is None or entry.kind in spec.only_kinds)  # placement
-                and (spec.only_zones is None or entry.zone in spec.only_zones)
-                and (not query.attempts or self._may_repeat(query, engine))  # effects, retry budget
-                and self._has_turn(query)  # order
-                and (self.now >= engine.cold_until or self.now >= self._cold_turn(engine, query.ask.cls)))
+        return (
+            not query.ended
+            and query.engine is None
+            and self.now < query.deadline  # one answer, one out
+            and entry.state is api.EngineState.LIVE  # drains
+            and (spec.only_kinds is None or entry.kind in spec.only_kinds)  # placement
+            and (spec.only_zones is None or entry.zone in spec.only_zones)
+            and (not query.attempts or self._may_repeat(query, engine))  # effects, retry budget
+            and self._has_turn(query)  # order
+            and (self.now >= engine.cold_until or self.now >= self._cold_turn(engine, query.ask.cls))
+        )
 
     def _may_repeat(self, query: Query, engine: Engine) -> bool:
         spec = self.classes[query.ask.cls].spec
@@ -34,8 +39,9 @@
         return within and len(query.attempts) < self.set.most_attempts
 
     def _has_turn(self, query: Query) -> bool:
-        return not query.in_line or bool(self.lines.first(query) and (
-            query.attempts or self.now >= self.key_rest.get(query.ask.key, 0.0)))
+        return not query.in_line or bool(
+            self.lines.first(query) and (query.attempts or self.now >= self.key_rest.get(query.ask.key, 0.0))
+        )
 
     def _cold_turn(self, engine: Engine, cls: int, after: bool = False) -> float:
         """When this class may next go to a cold engine, whose capacity is dealt out in turns of one query."""
@@ -91,8 +97,9 @@
         size = 0.0 if self.classes[query.ask.cls].spec.is_load else self._size(query)
         return max(0, min(3, round(1.5 - math.log2(max(1e-6, size)))))
 
-    def _end(self, query: Query, reason: api.EndReason | None = None, gone: bool = False,
-             counted: bool = False) -> None:
+    def _end(
+        self, query: Query, reason: api.EndReason | None = None, gone: bool = False, counted: bool = False
+    ) -> None:
         """The one place that ends a request: refused where that is harmless, failed otherwise."""
         ask, spec = query.ask, self.classes[query.ask.cls].spec
         query.ended = True
@@ -105,7 +112,8 @@
             shared = spec.effect is api.Effect.KEYED and spec.dedup_scope == "all"
             harmless = query.ran_at is None or spec.effect is api.Effect.SAFE or shared
             hint = min(max(WATCH, (self.next_entry - self.now) * (self.rung > 0)), self.set.longest_come_back)
-            self.actions.append(api.Refuse(ask.request, hint, reason) if harmless
-                                else api.Fail(ask.request, reason))
+            self.actions.append(
+                api.Refuse(ask.request, hint, reason) if harmless else api.Fail(ask.request, reason)
+            )
         if query.engine is None:  # else its key waits for what is out
             self.lines.leave(query)
--- a/aspenrill/policy/view.py
+++ b/aspenrill/policy/view.py
@@ -1,4 +1,5 @@
 """Which engines there are, and how they are: the list, own outcomes, reports, what others tell."""
+
 import math
 
 from .. import api
@@ -28,7 +29,7 @@
         self.sparse = few and not self.thin  # nor does anyone tell of them: this gateway's part of all counts
         self.news = self.thin and not asks  # and gateways tell each other of them
         order = 2 * self.fleet.order(-1) if self.sparse else []  # round once more
-        self.homes = order[self.set.me * len(self.live) // self.set.gateways:][:min(LOOK, len(self.live))]
+        self.homes = order[self.set.me * len(self.live) // self.set.gateways :][: min(LOOK, len(self.live))]
         self.paging = self.news and self.set.shortage_pages  # a jam feeds itself
         self._measure()
 
@@ -83,7 +84,7 @@
         other = self.random.sample(other, min(LOOK, len(other)))
         places = other if self.classes[query.ask.cls].spec.is_load or query.attempts else first + other
         able = [e for e in places if e.healthy and self._allowed(query, e)]
-        query.asked_at, query.asked = self.now, able[:ASKED - (self.news or self.ordinary <= PRESSURE)]
+        query.asked_at, query.asked = self.now, able[: ASKED - (self.news or self.ordinary <= PRESSURE)]
         for engine in query.asked:
             self._probe(engine)
 
@@ -94,8 +95,13 @@
             self.bytes -= NEWS_COST
             fresh = sorted((e for e, at in self.met.items() if at > self.now - TELL_FOR), key=self.met.get)
             self.met.clear()
-            self.actions.append(api.Tell(pack_news([
-                (e, math.inf if e.failed_at >= e.heard_at else e.load) for e in fresh[-NEWS_MOST:]])))
+            self.actions.append(
+                api.Tell(
+                    pack_news(
+                        [(e, math.inf if e.failed_at >= e.heard_at else e.load) for e in fresh[-NEWS_MOST:]]
+                    )
+                )
+            )
 
     def _on_news(self, data: bytes) -> None:
         """What another gateway met; what is not understood changes nothing."""
--- a/aspenrill/reader.py
+++ b/aspenrill/reader.py
@@ -1,4 +1,5 @@
 """Reads a TOML file field by field, and notes every fault under the name of its field."""
+
 from __future__ import annotations
 
 from collections.abc import Sequence
--- a/aspenrill/resolver/cache.py
+++ b/aspenrill/resolver/cache.py
@@ -2,6 +2,7 @@
 
 No I/O; times are seconds of one clock that never goes back, and come in as arguments.
 """
+
 from __future__ import annotations
 
 import random
@@ -73,15 +74,17 @@
             self.answers.move_to_end((name, kind))
         return found
 
-    def store(self, now: float, name: dns.Name, kind: int, code: int, records: Sequence[dns.Record],
-              ttl: float) -> Answer:
+    def store(
+        self, now: float, name: dns.Name, kind: int, code: int, records: Sequence[dns.Record], ttl: float
+    ) -> Answer:
         """Keep an answer for `ttl` seconds, clamped."""
         limits = self.lifetimes
         most = limits.most if records else min(limits.most, limits.most_negative)
         life = min(most, max(limits.least, ttl))
         low, high = limits.early
-        found = Answer(code, tuple(records), now, now + life * (low + (high - low) * self.rng.random()),
-                       now + life)
+        found = Answer(
+            code, tuple(records), now, now + life * (low + (high - low) * self.rng.random()), now + life
+        )
         key = dns.fold(name), kind
         self.answers[key] = found
         self.answers.move_to_end(key)
--- a/aspenrill/resolver/client.py
+++ b/aspenrill/resolver/client.py
@@ -1,4 +1,5 @@
 """The resolver on the hub: puts questions to sockets, keeps answers, joins look-ups for the same."""
+
 from __future__ import annotations
 
 import errno
@@ -25,8 +26,14 @@
 class Resolver:
     """Look-ups through some name servers. `lookup` and `many` wait, in the task that calls them."""
 
-    def __init__(self, hub: Hub, servers: Sequence[Address], patience: Patience = PATIENCE,
-                 lifetimes: Lifetimes = LIFETIMES, rng: random.Random | None = None) -> None:
+    def __init__(
+        self,
+        hub: Hub,
+        servers: Sequence[Address],
+        patience: Patience = PATIENCE,
+        lifetimes: Lifetimes = LIFETIMES,
+        rng: random.Random | None = None,
+    ) -> None:
         self.hub, self.patience = hub, patience
         self.random = rng or random.SystemRandom()
         self.servers = Servers(servers, self.random)
--- a/aspenrill/resolver/lookup.py
+++ b/aspenrill/resolver/lookup.py
@@ -3,6 +3,7 @@
 It yields an `Ask` and is sent what came of it, with the time; it returns what was found. A caller with
 sockets, and a test on a virtual clock, drive the same lines.
 """
+
 from __future__ import annotations
 
 from collections.abc import Generator
@@ -76,8 +77,12 @@
         name = end  # the answer stopped at an alias: what is behind it is asked for itself
 
 
-def follow(reply: dns.Reply, name: dns.Name, kind: int, seen: list[dns.Name],
-           ) -> tuple[dns.Name, tuple[dns.Record, ...], float]:
+def follow(
+    reply: dns.Reply,
+    name: dns.Name,
+    kind: int,
+    seen: list[dns.Name],
+) -> tuple[dns.Name, tuple[dns.Record, ...], float]:
     """Where the aliases of an answer lead from `name`, the records of the kind there, the aliases' lifetime.
 
     Only records of the answer section that stand under the name or its aliases count. `seen` holds the folded
@@ -103,8 +108,14 @@
     return name, tuple(unique.values()), ttl
 
 
-def _question(now: float, name: dns.Name, kind: int, servers: Servers, patience: Patience, until: float,
-              ) -> Generator[Ask, Heard, tuple[dns.Reply, float]]:
+def _question(
+    now: float,
+    name: dns.Name,
+    kind: int,
+    servers: Servers,
+    patience: Patience,
+    until: float,
+) -> Generator[Ask, Heard, tuple[dns.Reply, float]]:
     """One question, put to one server after another until one has an answer of use."""
     tried: list[Server] = []
     while now < until and len(tried) < ROUNDS * len(servers.all):
@@ -136,8 +147,9 @@
         servers.bad(server, now, why)
     if not tried:
         raise Failed("out of time")
-    raise Failed("; ".join(dict.fromkeys(f"{server.address[0]}:{server.address[1]} {server.why}"
-                                         for server in tried)))
+    raise Failed(
+        "; ".join(dict.fromkeys(f"{server.address[0]}:{server.address[1]} {server.why}" for server in tried))
+    )
 
 
 def usable(reply: dns.Reply) -> str:
--- a/aspenrill/resolver/servers.py
+++ b/aspenrill/resolver/servers.py
@@ -2,6 +2,7 @@
 
 No I/O; times come in as arguments.
 """
+
 from __future__ import annotations
 
 import random
--- a/aspenrill/roster/bulletin.py
+++ b/aspenrill/roster/bulletin.py
@@ -16,6 +16,7 @@
 owner's queue behind at most what came in the same round, which is part of what the program is behind. Where
 discovery is down it may return between two dials: BREATH if it refuses, CONNECT_FOR if it says nothing.
 """
+
 from __future__ import annotations
 
 import time
@@ -39,8 +40,9 @@
 class Bulletin:
     """Posts each event once and in order."""
 
-    def __init__(self, hub: Hub, address: tuple[str, int], last: int,
-                 post: Callable[[News], None], most: int = 100_000) -> None:
+    def __init__(
+        self, hub: Hub, address: tuple[str, int], last: int, post: Callable[[News], None], most: int = 100_000
+    ) -> None:
         self.hub, self.address, self.last, self.post = hub, address, last, post
         self.most = most  # engines that a list may name: of a longer one only who leaves is passed on
         self.task: Task | None = None
@@ -93,8 +95,10 @@
                 until = time.monotonic() + patience
                 size, number, kind = wire.frame_head(conn.read(wire.HEAD.size, until))
                 if (count := wire.engines_in(size)) > self.most:
-                    self.hub.log(f"bulletin: a list of {count} engines refused, memory allows {self.most}; "
-                                 "the last one stays")
+                    self.hub.log(
+                        f"bulletin: a list of {count} engines refused, memory allows {self.most}; "
+                        "the last one stays"
+                    )
                     self._leaving(conn, size, number, kind)
                     self.last = max(self.last, number)
                     continue
--- a/aspenrill/roster/dial.py
+++ b/aspenrill/roster/dial.py
@@ -5,6 +5,7 @@
 are never more than two, however long discovery is down. While none is up one descriptor is kept back, and a
 dial has it: clients and engines may hold all others.
 """
+
 from __future__ import annotations
 
 import contextlib
--- a/aspenrill/roster/dnssd.py
+++ b/aspenrill/roster/dnssd.py
@@ -1,4 +1,5 @@
 """Engines by DNS-SD (RFC 6763): instances by PTR, their addresses by SRV, their properties by TXT."""
+
 from __future__ import annotations
 
 from collections.abc import Iterable
@@ -27,8 +28,17 @@
 class DnsSd(Follower):
     """Follows the instances of one service type."""
 
-    def __init__(self, hub: Hub, name: str, resolver: Resolver, service: str, family: str, sink: Sink,
-                 kinds: tuple[str, ...] = (), priority: int = 0) -> None:
+    def __init__(
+        self,
+        hub: Hub,
+        name: str,
+        resolver: Resolver,
+        service: str,
+        family: str,
+        sink: Sink,
+        kinds: tuple[str, ...] = (),
+        priority: int = 0,
+    ) -> None:
         super().__init__(hub, name, resolver, service, family, sink)
         self.kinds, self.priority = kinds, priority
         self.last: dict[dns.Name, list[Member]] = {}  # by instance
@@ -59,9 +69,11 @@
             members += rows
         return members, answer.learned, min(until, next_look)
 
-    def _members(self, instance: dns.Name, place: tuple, hosts: tuple[str, ...],
-                 told: dict[str, str]) -> list[Member]:
+    def _members(
+        self, instance: dns.Name, place: tuple, hosts: tuple[str, ...], told: dict[str, str]
+    ) -> list[Member]:
         """An instance is one engine, at the first of its addresses."""
+
         def whole(key: str, most: int) -> int:
             value = told.get(key, "0")
             return int(value) if value.isascii() and value.isdigit() and int(value) < most else 0
@@ -70,7 +82,16 @@
         if not hosts or not port:
             return []
         kind = self.kinds.index(told["kind"]) if told.get("kind") in self.kinds else 0
-        return [Member(dns.text_of(instance).rstrip("."), (hosts[0], port),
-                       STATES.get(told.get("state", ""), EngineState.LIVE), whole("zone", 256), kind,
-                       whole("cell", 65536), whole("started", 1 << 53) / 1000, self.priority + priority,
-                       float(weight) if weight else None)]  # 0 is written where no choice is meant
+        return [
+            Member(
+                dns.text_of(instance).rstrip("."),
+                (hosts[0], port),
+                STATES.get(told.get("state", ""), EngineState.LIVE),
+                whole("zone", 256),
+                kind,
+                whole("cell", 65536),
+                whole("started", 1 << 53) / 1000,
+                self.priority + priority,
+                float(weight) if weight else None,
+            )
+        ]  # 0 is written where no choice is meant
--- a/aspenrill/roster/follower.py
+++ b/aspenrill/roster/follower.py
@@ -1,4 +1,5 @@
 """What looks at DNS have in common: a task that looks, tells, and looks again when that is due."""
+
 from __future__ import annotations
 
 import time
@@ -16,8 +17,12 @@
 
 RETRY, RETRY_MOST = 1.0, 30.0  # seconds until the next look after a failed one, doubled up to the most
 LEAST_GAP = 0.5  # seconds between two looks, however short the lives of the records
-FAMILIES = {"ipv4": (dns.A,), "ipv6": (dns.AAAA,), "ipv4-first": (dns.A, dns.AAAA),
-            "ipv6-first": (dns.AAAA, dns.A)}
+FAMILIES = {
+    "ipv4": (dns.A,),
+    "ipv6": (dns.AAAA,),
+    "ipv4-first": (dns.A, dns.AAAA),
+    "ipv6-first": (dns.AAAA, dns.A),
+}
 
 
 class Sink(Protocol):
@@ -34,8 +39,9 @@
 class Follower:
     """Looks again and again; `look` is its kind's own. Its whole list goes to the sink each time."""
 
-    def __init__(self, hub: Hub, name: str, resolver: Resolver, service: str, family: str,
-                 sink: Sink) -> None:
+    def __init__(
+        self, hub: Hub, name: str, resolver: Resolver, service: str, family: str, sink: Sink
+    ) -> None:
         self.hub, self.name, self.resolver, self.sink = hub, name, resolver, sink
         self.service, self.kinds_of_address = dns.name_of(service), FAMILIES[family]
         self.known: dict[dns.Name, tuple[str, ...]] = {}  # the last addresses of each target
@@ -114,8 +120,9 @@
                     failed.add(target)
                     until = min(until, time.monotonic() + RETRY)
                     continue
-                until = min(until, max(answer.refresh, time.monotonic() + RETRY) if answer.stale
-                            else answer.refresh)
+                until = min(
+                    until, max(answer.refresh, time.monotonic() + RETRY) if answer.stale else answer.refresh
+                )
                 if answer.records:
                     found[target] = tuple(sorted({plain(record.data) for record in answer.records}))
             left = [target for target in left if target not in found]
