--- a/aspenrill/roster/merge.py
+++ b/aspenrill/roster/merge.py
@@ -1,4 +1,5 @@
 """The sources at work: what they tell goes into the membership, what comes of it to the owner."""
+
 from __future__ import annotations
 
 import math
@@ -27,8 +28,14 @@
 class Roster:
     """Owns the membership. Its sources' tasks call it; all it does is done at once, without a wait."""
 
-    def __init__(self, hub: Hub, clock: Callable[[], float], membership: Membership,
-                 post: Callable[[Any], None], most_engines: int) -> None:
+    def __init__(
+        self,
+        hub: Hub,
+        clock: Callable[[], float],
+        membership: Membership,
+        post: Callable[[Any], None],
+        most_engines: int,
+    ) -> None:
         self.hub, self.clock, self.membership, self.post = hub, clock, membership, post
         self.starts = StartTimes(most_engines, now=clock())
         self.sources: dict[str, Source] = {}
@@ -59,8 +66,10 @@
 
     def news_of(self, name: str) -> Callable[[News], None]:
         """What the bulletin posts to, as the source of a name."""
+
         def post(news: News) -> None:
             (self.told if news.whole else self.changed)(name, news.members)
+
         return post
 
     # ---- sources that come and go ---------------------------------------------------------------------
--- a/aspenrill/settings.py
+++ b/aspenrill/settings.py
@@ -1,4 +1,5 @@
 """The settings object (simulator's first message, node's configuration) as api.Settings."""
+
 from __future__ import annotations
 
 from typing import Any
@@ -12,6 +13,7 @@
 
 def settings_from(info: dict[str, Any]) -> api.Settings:
     """Translate the start message's object; keys not known here are ignored."""
+
     def sec(owner: dict[str, Any], key: str, default: float = 0.0) -> float:
         return owner.get(key, default * NS) / NS
 
@@ -30,32 +32,54 @@
 
     threads, loads = per_class("dop", 1), per_class("is_load", False)
     waits = per_class("waits_for_loads", False)
-    classes = tuple(api.QueryClass(
-        aim=sec(c, "on_time_ns"), patience=sec(c, "give_up_ns"), effect=EFFECTS[c["effect"]],
-        worth=c.get("value", 1.0), late_worth=c.get("late_share", 0.0), aim_stretch=c.get("aim_stretch", 0.0),
-        dedup_scope=c.get("dedup_scope", "all"), dedup_window=sec(c, "window_ns"),
-        in_order=bool(c.get("in_order", False)), only_kinds=bound(c, "served_on"),
-        only_zones=bound(c, "stays_in"), threads=threads[i], is_load=loads[i], waits_for_loads=waits[i],
-    ) for i, c in enumerate(raw))
+    classes = tuple(
+        api.QueryClass(
+            aim=sec(c, "on_time_ns"),
+            patience=sec(c, "give_up_ns"),
+            effect=EFFECTS[c["effect"]],
+            worth=c.get("value", 1.0),
+            late_worth=c.get("late_share", 0.0),
+            aim_stretch=c.get("aim_stretch", 0.0),
+            dedup_scope=c.get("dedup_scope", "all"),
+            dedup_window=sec(c, "window_ns"),
+            in_order=bool(c.get("in_order", False)),
+            only_kinds=bound(c, "served_on"),
+            only_zones=bound(c, "stays_in"),
+            threads=threads[i],
+            is_load=loads[i],
+            waits_for_loads=waits[i],
+        )
+        for i, c in enumerate(raw)
+    )
     budget = "repeat_ratio" in rules or "budget_free" in rules
     return api.Settings(
         classes=classes,
         cores_by_kind=tuple(family.get("cores_by_kind") or [1] * len(info.get("kinds") or [1])),
-        memory_by_kind=tuple(family.get("kind_memory_mb") or ()), gateways=info.get("group_size", 1),
-        me=info.get("me", 0), most_attempts=limits.get("most_tries", 1),
+        memory_by_kind=tuple(family.get("kind_memory_mb") or ()),
+        gateways=info.get("group_size", 1),
+        me=info.get("me", 0),
+        most_attempts=limits.get("most_tries", 1),
         may_cancel=bool(limits.get("cancel")),
-        may_probe=bool(limits.get("may_probe")), may_tell=bool(limits.get("peers")),
-        tell_price=prices.get("peer", 0.0), probe_price=prices.get("probe", 0.0),
+        may_probe=bool(limits.get("may_probe")),
+        may_tell=bool(limits.get("peers")),
+        tell_price=prices.get("peer", 0.0),
+        probe_price=prices.get("probe", 0.0),
         shortage_pages=family.get("on_shortage") == "page",
-        longest_come_back=sec(limits, "max_retry_after_ns"), grants_heeded=bool(family.get("grants_count")),
-        largest_grant=family.get("grant_cap", 1.0), priorities_heeded=bool(family.get("lanes_count")),
-        costs_told=bool(family.get("says_cost")), ask_for_list=info.get("discovery") == "ask",
+        longest_come_back=sec(limits, "max_retry_after_ns"),
+        grants_heeded=bool(family.get("grants_count")),
+        largest_grant=family.get("grant_cap", 1.0),
+        priorities_heeded=bool(family.get("lanes_count")),
+        costs_told=bool(family.get("says_cost")),
+        ask_for_list=info.get("discovery") == "ask",
         report_fields=tuple(FIELDS.get(f, f) for f in stats.get("fields") or ()),
         start_capacity=rules.get("start_capacity", 1.0),
-        cold_for=sec(rules, "cold_ns"), fall_multiple=rules.get("fall_multiple", 0.0),
+        cold_for=sec(rules, "cold_ns"),
+        fall_multiple=rules.get("fall_multiple", 0.0),
         fall_window=sec(rules, "fall_ns"),
         key_rest=sec(rules, "turn_gap_ns") if "turn_gap_ns" in rules else None,
         retry_free=rules.get("budget_free", 0) if budget else None,
         retry_ratio=rules.get("repeat_ratio", 0.0) if budget else None,
-        retry_span=sec(rules, "ratio_span_ns"), over_share_worth=info.get("over_share_worth", 1.0),
-        tenant_quotas=tuple(t.get("quota_per_s", 0.0) for t in info.get("tenants") or ()))
+        retry_span=sec(rules, "ratio_span_ns"),
+        over_share_worth=info.get("over_share_worth", 1.0),
+        tenant_quotas=tuple(t.get("quota_per_s", 0.0) for t in info.get("tenants") or ()),
+    )
--- a/aspenrill/sidecar.py
+++ b/aspenrill/sidecar.py
@@ -1,4 +1,5 @@
 """One application's front, put together from its file: TDS before it, TDS engines behind it."""
+
 from __future__ import annotations
 
 import os
@@ -28,8 +29,9 @@
     return app
 
 
-def _fleet(hub: Hub, node: Node, app: application.Application,
-           read: Callable[[], dict[str, Any]]) -> Callable[[], None]:
+def _fleet(
+    hub: Hub, node: Node, app: application.Application, read: Callable[[], dict[str, Any]]
+) -> Callable[[], None]:
     """The other front ends, where [fleet] has them on; what it gives reads the table again."""
     if app.fleet is None:
         return lambda: None
@@ -41,9 +43,16 @@
 def sidecar(hub: Hub, path: str) -> Node:
     """A node for one application's file."""
     app = _application(path)
-    node = Node(hub, app.settings, int.from_bytes(os.urandom(8), "big"), app.sockets, app.idle_for,
-                app.connect_for, lambda pools, post: TdsEngines(hub, pools, post, app.answer_bytes),
-                logging_in(app.user, app.app))
+    node = Node(
+        hub,
+        app.settings,
+        int.from_bytes(os.urandom(8), "big"),
+        app.sockets,
+        app.idle_for,
+        app.connect_for,
+        lambda pools, post: TdsEngines(hub, pools, post, app.answer_bytes),
+        logging_in(app.user, app.app),
+    )
     gathering, service = Gathering(hub, app.sources, app.kinds, node.post, node.owner.most_engines), None
     if app.enabled:
         service = tds.Service(hub, app.logins, node.post, app.name)
@@ -54,9 +63,14 @@
         nonlocal app
         now = _application(path, hub.sleep)
         if (now.settings, now.kinds, now.listen, now.enabled) != (
-                app.settings, app.kinds, app.listen, app.enabled):
-            raise ConfigError(f"{path}: only logins, sources, resolvers and their rules can change without a "
-                              "new start")
+            app.settings,
+            app.kinds,
+            app.listen,
+            app.enabled,
+        ):
+            raise ConfigError(
+                f"{path}: only logins, sources, resolvers and their rules can change without a new start"
+            )
         app = now
         if service is not None:
             service.mappings = now.logins
--- a/aspenrill/sources.py
+++ b/aspenrill/sources.py
@@ -3,6 +3,7 @@
 An application's file has them, or the older form with one source in [engines]; a platform node has a file of
 its own under deploy/.
 """
+
 from __future__ import annotations
 
 import tomllib
@@ -91,9 +92,13 @@
     least, most = row.number("least_ttl_s", 1, 0.1, DAY), row.number("most_ttl_s", 3600, 0.1, 7 * DAY)
     if most < least:
         row.fault("most_ttl_s", "must not be below least_ttl_s")
-    lifetimes = Lifetimes(least, most, row.number("negative_ttl_s", 300, 0.1, DAY),
-                          row.number("stale_s", DAY, 0, 30 * DAY),
-                          entries=int(row.number("entries", 8192, 16, 1 << 20)))
+    lifetimes = Lifetimes(
+        least,
+        most,
+        row.number("negative_ttl_s", 300, 0.1, DAY),
+        row.number("stale_s", DAY, 0, 30 * DAY),
+        entries=int(row.number("entries", 8192, 16, 1 << 20)),
+    )
     row.end()
     return ResolverSpec(name, tuple(servers), Patience(question, lookup), lifetimes)
 
@@ -109,24 +114,33 @@
     return text
 
 
-def _listed(row: Reader, kinds: tuple[str, ...], tier: int, weight: float | None,
-            zone: int) -> tuple[Member, ...]:
+def _listed(
+    row: Reader, kinds: tuple[str, ...], tier: int, weight: float | None, zone: int
+) -> tuple[Member, ...]:
     members = []
     for engine in row.tables("engine"):
-        members.append(Member(
-            engine.text("name"), engine.address("address"),
-            EngineState.DRAINING if engine.choice("state", ("live", "draining"), "live") == "draining"
-            else EngineState.LIVE, zone,
-            kinds.index(engine.choice("kind", kinds, kinds[0])) if kinds else 0,
-            priority=tier, weight=weight))
+        members.append(
+            Member(
+                engine.text("name"),
+                engine.address("address"),
+                EngineState.DRAINING
+                if engine.choice("state", ("live", "draining"), "live") == "draining"
+                else EngineState.LIVE,
+                zone,
+                kinds.index(engine.choice("kind", kinds, kinds[0])) if kinds else 0,
+                priority=tier,
+                weight=weight,
+            )
+        )
         engine.end()
     unique(row, "engine", [m.engine for m in members])
     unique(row, "engine", [m.address for m in members])
     return tuple(members)
 
 
-def _source(row: Reader, kinds: tuple[str, ...], resolvers: tuple[str, ...],
-            types: tuple[str, ...]) -> SourceSpec:
+def _source(
+    row: Reader, kinds: tuple[str, ...], resolvers: tuple[str, ...], types: tuple[str, ...]
+) -> SourceSpec:
     name, kind_of = row.text("name"), row.choice("type", types)
     tier, zone = int(row.number("tier", 0, 0, 65535)), int(row.number("zone", 0, 0, 255))
     shrink = row.number("shrink", 0.5 if kind_of in ("dns-sd", "srv") else 1.0, 0, 1)
@@ -173,17 +187,31 @@
     first, most = row.number("hold_s", 5, 0.1, DAY), row.number("hold_most_s", 300, 0.1, DAY)
     if most < first:
         row.fault("hold_most_s", "must not be below hold_s")
-    damping = Damping(int(row.number("flaps", 3, 2, 1000)), row.number("flap_window_s", 10, 0.1, DAY), first,
-                      most, row.number("calm_s", 60, 0.1, DAY))
+    damping = Damping(
+        int(row.number("flaps", 3, 2, 1000)),
+        row.number("flap_window_s", 10, 0.1, DAY),
+        first,
+        most,
+        row.number("calm_s", 60, 0.1, DAY),
+    )
     lack, full = tiers.number("lack", 0.5, 0, 1), tiers.number("full", 0.75, 0, 1)
     if full < lack:
         tiers.fault("full", "must not be below lack: a tier would open and close in turns")
-    ladder = TierRules(lack, full, int(tiers.number("least", 1, 1, 20000)),
-                       tiers.number("step_ms", 1000, 10, 600000) / 1000, tiers.number("settle_s", 15, 0, DAY))
-    rules = Rules(row.number("restart_ms", 1000, 0, 600000) / 1000,
-                  row.number("confirm_ms", 2000, 100, 600000) / 1000, row.number("handover_s", 30, 0, DAY),
-                  most_engines=int(row.number("most_engines", 20000, 1, 100000)), damping=damping,
-                  tiers=ladder)
+    ladder = TierRules(
+        lack,
+        full,
+        int(tiers.number("least", 1, 1, 20000)),
+        tiers.number("step_ms", 1000, 10, 600000) / 1000,
+        tiers.number("settle_s", 15, 0, DAY),
+    )
+    rules = Rules(
+        row.number("restart_ms", 1000, 0, 600000) / 1000,
+        row.number("confirm_ms", 2000, 100, 600000) / 1000,
+        row.number("handover_s", 30, 0, DAY),
+        most_engines=int(row.number("most_engines", 20000, 1, 100000)),
+        damping=damping,
+        tiers=ladder,
+    )
     row.end()
     tiers.end()
     return rules
@@ -258,8 +286,10 @@
     for at, source in enumerate(sources.sources):
         for place, member in enumerate(source.engines):
             if not allows(member.address[0]):
-                top.fault(f"source[{at}].engine[{place}].address",
-                          f"{member.address[0]} is not among the addresses allowed")
+                top.fault(
+                    f"source[{at}].engine[{place}].address",
+                    f"{member.address[0]} is not among the addresses allowed",
+                )
 
 
 def policy_of(sources: Sources) -> Callable[[str], bool]:
@@ -267,10 +297,14 @@
     if not sources.allow and not sources.deny:
         return _possible
     from .membership.addresses import AddressPolicy
+
     return AddressPolicy(sources.allow, sources.deny).allows
 
 
 def _possible(host: str) -> bool:
     """Without a policy: any address at which a server can listen."""
-    return host not in ("0.0.0.0", "::", "255.255.255.255") and not host.lower().startswith("ff") and not (
-        host.count(".") == 3 and ":" not in host and 224 <= int(host.split(".")[0]) < 240)
+    return (
+        host not in ("0.0.0.0", "::", "255.255.255.255")
+        and not host.lower().startswith("ff")
+        and not (host.count(".") == 3 and ":" not in host and 224 <= int(host.split(".")[0]) < 240)
+    )
--- a/aspenrill/start.py
+++ b/aspenrill/start.py
@@ -1,4 +1,5 @@
 """Starts one real front end, a node of the platform or an application's sidecar; runs it until SIGTERM."""
+
 from __future__ import annotations
 
 import contextlib
--- a/aspenrill/starttimes.py
+++ b/aspenrill/starttimes.py
@@ -9,6 +9,7 @@
 
 No I/O but for one reading of both clocks at the beginning.
 """
+
 from __future__ import annotations
 
 import time
--- a/aspenrill/state.py
+++ b/aspenrill/state.py
@@ -1,4 +1,5 @@
 """What a gateway remembers of classes, engines and requests: plain records, no decisions."""
+
 from __future__ import annotations
 
 import math
@@ -36,8 +37,9 @@
 
 def pack_news(items: list[tuple[Engine, float]]) -> bytes:
     """Loads of engines as a message, three bytes each; infinite where an engine fails."""
-    return b"".join(e.tag + bytes([255 if load == math.inf else min(254, round(load * 32))])
-                    for e, load in items)
+    return b"".join(
+        e.tag + bytes([255 if load == math.inf else min(254, round(load * 32))]) for e, load in items
+    )
 
 
 class Learned:
@@ -157,7 +159,7 @@
 
     def __init__(self, entry: api.EngineEntry, cores: int, memory: float, now: float) -> None:
         self.entry, self.cores, self.memory = entry, cores, memory
-        self.tag = (zlib.crc32(entry.engine.encode()) & 0xffff).to_bytes(2, "big")  # its name in news
+        self.tag = (zlib.crc32(entry.engine.encode()) & 0xFFFF).to_bytes(2, "big")  # its name in news
         self.out: dict[str, Query] = {}  # attempts out, by request
         self.threads = 0
         self.share = 1.0  # in choosing, against the mean of its tier
@@ -207,9 +209,28 @@
 class Query:
     """One request that this gateway took."""
 
-    __slots__ = ("spec", "kind", "ask", "came", "deadline", "attempts", "known_until", "begin_by",
-                 "sent_at", "expected", "engine", "ended", "spilled", "suspect", "afresh", "asked",
-                 "asked_at", "ran_at", "ran_on", "in_line")
+    __slots__ = (
+        "spec",
+        "kind",
+        "ask",
+        "came",
+        "deadline",
+        "attempts",
+        "known_until",
+        "begin_by",
+        "sent_at",
+        "expected",
+        "engine",
+        "ended",
+        "spilled",
+        "suspect",
+        "afresh",
+        "asked",
+        "asked_at",
+        "ran_at",
+        "ran_on",
+        "in_line",
+    )
 
     def __init__(self, ask: api.Request, now: float, spec: api.QueryClass) -> None:
         self.spec = spec
@@ -257,8 +278,12 @@
         for entry in update.entries:
             known = self.engines.get(entry.engine)
             if known is None:
-                known = Engine(entry, self.cores_by_kind[entry.kind % len(self.cores_by_kind)],
-                               self.memory_by_kind[entry.kind % len(self.memory_by_kind)], now)
+                known = Engine(
+                    entry,
+                    self.cores_by_kind[entry.kind % len(self.cores_by_kind)],
+                    self.memory_by_kind[entry.kind % len(self.memory_by_kind)],
+                    now,
+                )
                 self.engines[entry.engine] = known
             elif entry.started > known.entry.started:
                 known.forget(now)
@@ -268,8 +293,11 @@
             for name, known in self.engines.items():
                 if name not in named:
                     known.entry = replace(known.entry, state=api.EngineState.GONE)
-        self.engines = {name: known for name, known in self.engines.items()
-                        if known.out or known.entry.state is not api.EngineState.GONE}
+        self.engines = {
+            name: known
+            for name, known in self.engines.items()
+            if known.out or known.entry.state is not api.EngineState.GONE
+        }
         self.tags = {}
         for known in self.engines.values():  # what two engines share tells of neither
             self.tags[known.tag] = None if known.tag in self.tags else known
@@ -293,7 +321,7 @@
 
     def read_news(self, data: bytes) -> list[tuple[Engine, float]]:
         """The message of `pack_news`; engines not known here are left out."""
-        found = [(self.tags.get(data[at:at + 2]), data[at + 2]) for at in range(0, len(data) - 2, 3)]
+        found = [(self.tags.get(data[at : at + 2]), data[at + 2]) for at in range(0, len(data) - 2, 3)]
         return [(e, math.inf if level == 255 else level / 32) for e, level in found if e is not None]
 
     def order(self, data_set: int | None) -> list[Engine]:
@@ -301,8 +329,13 @@
         if data_set not in self.orders:
             if len(self.orders) > MOST_ORDERS:  # clients name data sets as they like
                 self.orders = {None: self.orders[None]}
-            self.orders[data_set] = sorted(self.orders[None], key=lambda e: (zlib.crc32(
-                f"{data_set}/{e.entry.engine}".encode()) * 2654435761 >> 7 & 1023, e.entry.engine))
+            self.orders[data_set] = sorted(
+                self.orders[None],
+                key=lambda e: (
+                    zlib.crc32(f"{data_set}/{e.entry.engine}".encode()) * 2654435761 >> 7 & 1023,
+                    e.entry.engine,
+                ),
+            )
         return self.orders[data_set]
 
 
--- a/aspenrill/tool/__main__.py
+++ b/aspenrill/tool/__main__.py
@@ -1,4 +1,5 @@
 """The tool: `write`, `check`, `sources` and `records`, each for one application's file."""
+
 from __future__ import annotations
 
 import argparse
@@ -56,9 +57,11 @@
     found = _load(args.file)
     if found is None:
         return 1
-    print(f"{args.file}: good; {found.name} listens on {show(found.listen)}, "
-          f"{len(found.classes)} classes, {len(found.logins)} logins, engines from {found.source}"
-          + ("" if found.enabled else "; not enabled"))
+    print(
+        f"{args.file}: good; {found.name} listens on {show(found.listen)}, "
+        f"{len(found.classes)} classes, {len(found.logins)} logins, engines from {found.source}"
+        + ("" if found.enabled else "; not enabled")
+    )
     return 0
 
 
@@ -91,12 +94,18 @@
     one = commands.add_parser("write", help="write a new, commented file")
     one.add_argument("file")
     one.add_argument("--name", default="billing", help="the application's name (default: billing)")
-    one.add_argument("--listen", default="127.0.0.1:1433", metavar="ADDRESS:PORT",
-                     help="where its clients connect (default: 127.0.0.1:1433)")
+    one.add_argument(
+        "--listen",
+        default="127.0.0.1:1433",
+        metavar="ADDRESS:PORT",
+        help="where its clients connect (default: 127.0.0.1:1433)",
+    )
     one.add_argument("--force", action="store_true", help="overwrite the file")
     one.set_defaults(run=write)
-    for name, run, text in (("check", check, "name every fault of a file"),
-                            ("records", records, "print the application's DNS-SD records")):
+    for name, run, text in (
+        ("check", check, "name every fault of a file"),
+        ("records", records, "print the application's DNS-SD records"),
+    ):
         one = commands.add_parser(name, help=text)
         one.add_argument("file")
         one.set_defaults(run=run)
--- a/aspenrill/tool/sources.py
+++ b/aspenrill/tool/sources.py
@@ -1,4 +1,5 @@
 """What each source of a file says now, the merged list, and why each engine is in or out."""
+
 from __future__ import annotations
 
 import argparse
@@ -15,8 +16,11 @@
 LOOK = 0.05  # seconds between two looks whether all have spoken
 
 
-def gather(app: application.Application, seconds: float, hub: Hub | None = None,
-           ) -> tuple[dict[str, Any], list[str]]:
+def gather(
+    app: application.Application,
+    seconds: float,
+    hub: Hub | None = None,
+) -> tuple[dict[str, Any], list[str]]:
     """Ask all sources once, for so long at most: what came of it as plain data, and what was logged."""
     lines: list[str] = []
     hub = hub or Hub()
@@ -42,26 +46,52 @@
     membership, types = gathering.membership, {s.name: s.type for s in gathering.sources.sources}
     sources = []
     for source in membership.sources.values():
-        sources.append({
-            "name": source.spec.name, "type": types.get(source.spec.name, "list"),
-            "state": "fails" if source.failing is not None else "silent" if source.first else "answers",
-            "why": source.failing or "", "doubted": len(source.doubted),
-            "age": None if source.heard_at is None else round(now - source.heard_at, 3),
-            "entries": [{"name": m.engine, "address": show(m.address), "state": m.state.value,
-                         "priority": m.priority, "weight": m.weight} for m in source.said.values()]})
-    engines = [{"id": m.engine, "address": show(m.address), "in": is_in, "why": why, "named_by": by,
-                "state": m.state.value, "kind": kinds[m.kind] if m.kind < len(kinds) else str(m.kind),
-                "zone": m.zone, "tier": m.priority, "weight": m.weight,
-                "cold": bool(m.started) and now < m.started + 12} for m, is_in, why, by in
-               membership.explain(now)]
+        sources.append(
+            {
+                "name": source.spec.name,
+                "type": types.get(source.spec.name, "list"),
+                "state": "fails" if source.failing is not None else "silent" if source.first else "answers",
+                "why": source.failing or "",
+                "doubted": len(source.doubted),
+                "age": None if source.heard_at is None else round(now - source.heard_at, 3),
+                "entries": [
+                    {
+                        "name": m.engine,
+                        "address": show(m.address),
+                        "state": m.state.value,
+                        "priority": m.priority,
+                        "weight": m.weight,
+                    }
+                    for m in source.said.values()
+                ],
+            }
+        )
+    engines = [
+        {
+            "id": m.engine,
+            "address": show(m.address),
+            "in": is_in,
+            "why": why,
+            "named_by": by,
+            "state": m.state.value,
+            "kind": kinds[m.kind] if m.kind < len(kinds) else str(m.kind),
+            "zone": m.zone,
+            "tier": m.priority,
+            "weight": m.weight,
+            "cold": bool(m.started) and now < m.started + 12,
+        }
+        for m, is_in, why, by in membership.explain(now)
+    ]
     return {"sources": sources, "engines": engines}
 
 
 def print_report(found: dict[str, Any], lines: list[str]) -> None:
     """For people."""
     for source in found["sources"]:
-        print(f"source {source['name']} ({source['type']}) {source['state']}, "
-              f"{len(source['entries'])} entries" + (f": {source['why']}" if source["why"] else ""))
+        print(
+            f"source {source['name']} ({source['type']}) {source['state']}, "
+            f"{len(source['entries'])} entries" + (f": {source['why']}" if source["why"] else "")
+        )
         for one in source["entries"]:
             weight = "" if one["weight"] is None else f" priority {one['priority']} weight {one['weight']:g}"
             print(f"  {one['address']:<24} {one['state']:<9} {one['name']}{weight}")
--- a/aspenrill/tool/template.py
+++ b/aspenrill/tool/template.py
@@ -1,6 +1,6 @@
 """The file that `write` begins with."""
 
-TEMPLATE = '''\
+TEMPLATE = """\
 # Configuration of one application's sidecar. Times are milliseconds unless a name says otherwise.
 name = "@NAME@"
 enabled = true                 # false: the front does not listen
@@ -149,4 +149,4 @@
 [limits]
 memory_mb = 192
 sockets = 1024
-'''
+"""
--- a/aspenrill/wire/bulletin.py
+++ b/aspenrill/wire/bulletin.py
@@ -1,4 +1,5 @@
 """The bulletin: numbered changes to the list of engines, as frames and as the configuration's JSON."""
+
 from __future__ import annotations
 
 import struct
@@ -44,8 +45,17 @@
     for ident, host, port, state, zone, machine, cell, _, started in RECORD.iter_unpack(payload):
         if state >= len(STATES):
             raise Malformed(f"state {state}")
-        members.append(Member(f"s-{ident:08x}", (".".join(map(str, host)), port), STATES[state], zone,
-                              machine, cell, started / 1000))
+        members.append(
+            Member(
+                f"s-{ident:08x}",
+                (".".join(map(str, host)), port),
+                STATES[state],
+                zone,
+                machine,
+                cell,
+                started / 1000,
+            )
+        )
     return News(number, kind == WHOLE, tuple(members))
 
 
@@ -56,9 +66,17 @@
         members = []
         for host in roster["hosts"]:
             name, _, port = host["dial"].rpartition(":")
-            members.append(Member(
-                host["host"], (name, int(port)), WORDS[host["health"]], zones.index(host["site"]),
-                kinds.index(host["class"]), int(host.get("block", 0)), host.get("born_ms", 0) / 1000))
+            members.append(
+                Member(
+                    host["host"],
+                    (name, int(port)),
+                    WORDS[host["health"]],
+                    zones.index(host["site"]),
+                    kinds.index(host["class"]),
+                    int(host.get("block", 0)),
+                    host.get("born_ms", 0) / 1000,
+                )
+            )
         return News(int(item["no"]), bool(roster["whole"]), tuple(members))
     except (KeyError, ValueError, TypeError, AttributeError) as why:
         raise Malformed(f"event of the bulletin: {type(why).__name__} {why}") from None
--- a/aspenrill/wire/dns.py
+++ b/aspenrill/wire/dns.py
@@ -2,6 +2,7 @@
 
 Names are tuples of labels without the root; a label that is not UTF-8 is kept by surrogate escapes.
 """
+
 from __future__ import annotations
 
 import socket
@@ -81,8 +82,10 @@
 
 def fold(name: Name) -> Name:
     """Without case (RFC 4343: of ASCII letters only), for comparing."""
-    return tuple(part.lower() if part.isascii() else "".join(
-        c.lower() if c.isascii() else c for c in part) for part in name)
+    return tuple(
+        part.lower() if part.isascii() else "".join(c.lower() if c.isascii() else c for c in part)
+        for part in name
+    )
 
 
 def _bytes(label: str) -> bytes:
@@ -145,7 +148,7 @@
             at += 1 + size
             if not size:
                 break
-            labels.append(data[at - size:at].decode("utf-8", "surrogateescape"))
+            labels.append(data[at - size : at].decode("utf-8", "surrogateescape"))
             size_all += size + 1
             if size_all > MOST_NAME:
                 break
@@ -179,7 +182,7 @@
             if end - self.at != size:
                 raise Malformed("address of another size")
             self.at = end
-            return socket.inet_ntop(family, self.data[end - size:end])
+            return socket.inet_ntop(family, self.data[end - size : end])
         if kind in (PTR, CNAME, NS):
             return self.name()
         if kind == SRV:
@@ -196,7 +199,7 @@
                 size = self.data[self.at]
                 if self.at + 1 + size > end:
                     raise Malformed("text beyond its record")
-                texts.append(self.data[self.at + 1:self.at + 1 + size].decode("utf-8", "surrogateescape"))
+                texts.append(self.data[self.at + 1 : self.at + 1 + size].decode("utf-8", "surrogateescape"))
                 self.at += 1 + size
             return tuple(texts)
         return None
--- a/aspenrill/wire/http1.py
+++ b/aspenrill/wire/http1.py
@@ -1,4 +1,5 @@
 """HTTP/1.1 as a client speaks it: request heads out, response heads in."""
+
 from __future__ import annotations
 
 import re
@@ -73,8 +74,10 @@
         if "\r" in key or "\n" in key:
             raise Malformed("line break in X-Nonce")
         nonce = f"X-Nonce: {key}\r\n"
-    return (f"X-Ticket: {ticket}\r\nX-Max-Ms: {left_ms}\r\nX-Weight-Class: {priority}\r\n{nonce}"
-            f"Content-Length: {size}\r\n\r\n").encode()
+    return (
+        f"X-Ticket: {ticket}\r\nX-Max-Ms: {left_ms}\r\nX-Weight-Class: {priority}\r\n{nonce}"
+        f"Content-Length: {size}\r\n\r\n"
+    ).encode()
 
 
 def _name(raw: str) -> str:
@@ -95,8 +98,13 @@
     lines = text.split("\r\n")
     first = lines[0]
     status = first[9:12]
-    if first[:7] != "HTTP/1." or first[8:9] != " " or first[12:13] not in (" ", "") or not (
-            status.isascii() and status.isdigit()) or not 100 <= int(status) <= 599:
+    if (
+        first[:7] != "HTTP/1."
+        or first[8:9] != " "
+        or first[12:13] not in (" ", "")
+        or not (status.isascii() and status.isdigit())
+        or not 100 <= int(status) <= 599
+    ):
         raise Malformed(f"status line {first[:40]!r}")
     headers: dict[str, str] = {}
     for line in lines[1:]:
@@ -107,7 +115,7 @@
             raise Malformed(f"header {line[:40]!r}")
         raw = line[:at]
         name = _names.get(raw) or _name(raw)
-        value = line[at + 2:] if line[at + 1:at + 2] == " " else line[at + 1:]
+        value = line[at + 2 :] if line[at + 1 : at + 2] == " " else line[at + 1 :]
         if value[:1].isspace() or value[-1:].isspace():
             value = value.strip()
         if name == "content-length" and headers.get(name, value) != value:
--- a/aspenrill/wire/sql.py
+++ b/aspenrill/wire/sql.py
@@ -1,4 +1,5 @@
 """Which group of tables a statement reads or writes."""
+
 from __future__ import annotations
 
 import re
@@ -21,10 +22,10 @@
     parts, at = [], 0
     while match := COMMENT.search(text, at):
         if match.group() != "/*":
-            parts.append(text[at:match.end()])
+            parts.append(text[at : match.end()])
             at = match.end()
             continue
-        parts.append(text[at:match.start()] + " ")
+        parts.append(text[at : match.start()] + " ")
         at, depth = match.end(), 1
         while depth:
             edge = EDGE.search(text, at)
--- a/aspenrill/wire/tds.py
+++ b/aspenrill/wire/tds.py
@@ -1,4 +1,5 @@
 """TDS (MS-TDS 7.4) as far as a front and engines need it: packets, PRELOGIN, LOGIN7, SQLBatch, results."""
+
 from __future__ import annotations
 
 import struct
@@ -13,7 +14,15 @@
 PACKET = 4096
 LEAST_PACKET, MOST_PACKET = 512, 32767
 DONE, ERROR, INFO, LOGINACK, ENVCHANGE, COLMETADATA, ROW, NBCROW = (
-    0xFD, 0xAA, 0xAB, 0xAD, 0xE3, 0x81, 0xD1, 0xD2)
+    0xFD,
+    0xAA,
+    0xAB,
+    0xAD,
+    0xE3,
+    0x81,
+    0xD1,
+    0xD2,
+)
 DONEPROC, DONEINPROC, ORDER, RETURNSTATUS = 0xFE, 0xFF, 0xA9, 0x79
 MORE, BAD, COUNT, ACKNOWLEDGED, SERVER_ERROR = 0x1, 0x2, 0x10, 0x20, 0x100  # bits of a DONE's status
 VERSION = 0x74000004
@@ -22,9 +31,9 @@
 NOT_SUPPORTED = 2  # encryption, as PRELOGIN has it
 
 
-
 # ---- packets ------------------------------------------------------------------------------------------
 
+
 def packet_head(head: bytes) -> tuple[int, int, int]:
     """Type, status and size of what follows the head of a packet."""
     kind, status, length, _, _, _ = HEAD.unpack(head)
@@ -38,7 +47,7 @@
     room = size - HEAD.size
     parts = []
     for number, at in enumerate(range(0, max(1, len(body)), room), 1):
-        piece = body[at:at + room]
+        piece = body[at : at + room]
         status = END_OF_MESSAGE if at + room >= len(body) else 0
         parts += [HEAD.pack(kind, status, HEAD.size + len(piece), 0, number & 0xFF, 0), piece]
     return b"".join(parts)
@@ -46,6 +55,7 @@
 
 # ---- opening a connection -----------------------------------------------------------------------------
 
+
 def prelogin() -> bytes:
     """The body of a PRELOGIN, the same from both sides: our version, and that encryption is not supported."""
     values = [(0, struct.pack(">BBHH", 16, 0, 0, 0)), (1, bytes([NOT_SUPPORTED])), (4, b"\0")]
@@ -65,7 +75,7 @@
         token, start, size = struct.unpack_from(">BHH", body, at)
         if start + size > len(body):
             raise Malformed("PRELOGIN option beyond its end")
-        found[token] = body[start:start + size]
+        found[token] = body[start : start + size]
         at += 5
     if at >= len(body):
         raise Malformed("PRELOGIN without an end")
@@ -86,15 +96,25 @@
 def login7(login: Login, password: str = "") -> bytes:
     """The body of a LOGIN7."""
     scrambled = bytes(((b << 4 | b >> 4) & 0xFF) ^ 0xA5 for b in password.encode("utf-16-le"))
-    texts = [login.host.encode("utf-16-le"), login.user.encode("utf-16-le"), scrambled,
-             login.app.encode("utf-16-le"), b"", b"", b"", b"", login.database.encode("utf-16-le")]
+    texts = [
+        login.host.encode("utf-16-le"),
+        login.user.encode("utf-16-le"),
+        scrambled,
+        login.app.encode("utf-16-le"),
+        b"",
+        b"",
+        b"",
+        b"",
+        login.database.encode("utf-16-le"),
+    ]
     fixed, at, table, data = 94, 94, b"", b""
     for text in texts:
         table += struct.pack("<HH", at + len(data), len(text) // 2)
         data += text
     table += b"\0" * 6 + struct.pack("<HHHHHHI", at + len(data), 0, at + len(data), 0, at + len(data), 0, 0)
-    head = struct.pack("<IIIIIIBBBBII", fixed + len(data), VERSION, login.packet, 7, 0, 0, 0xE0, 3, 0, 0, 0,
-                       0)
+    head = struct.pack(
+        "<IIIIIIBBBBII", fixed + len(data), VERSION, login.packet, 7, 0, 0, 0xE0, 3, 0, 0, 0, 0
+    )
     return head + table + data
 
 
@@ -107,7 +127,7 @@
         start, count = struct.unpack_from("<HH", body, at)
         if start + 2 * count > len(body):
             raise Malformed("LOGIN7 field beyond its end")
-        return body[start:start + 2 * count].decode("utf-16-le", "replace")
+        return body[start : start + 2 * count].decode("utf-16-le", "replace")
 
     size = struct.unpack_from("<I", body, 8)[0] or PACKET
     return Login(text(40), text(48), text(36), text(68), max(LEAST_PACKET, min(MOST_PACKET, size)))
@@ -122,12 +142,20 @@
     """The tokens that take a client in."""
     ack = b"\1" + struct.pack(">I", VERSION) + short_text(name) + b"\x10\0\0\0"
     size = b"\4" + short_text(str(login.packet)) + short_text(str(PACKET))
-    return (bytes([LOGINACK]) + struct.pack("<H", len(ack)) + ack
-            + bytes([ENVCHANGE]) + struct.pack("<H", len(size)) + size + done())
+    return (
+        bytes([LOGINACK])
+        + struct.pack("<H", len(ack))
+        + ack
+        + bytes([ENVCHANGE])
+        + struct.pack("<H", len(size))
+        + size
+        + done()
+    )
 
 
 # ---- requests -----------------------------------------------------------------------------------------
 
+
 def sql_batch(statement: str) -> bytes:
     """The body of a SQLBatch: the headers that 7.2 and later want, then the statement."""
     return struct.pack("<IIHQI", 22, 18, 2, 0, 1) + statement.encode("utf-16-le")
@@ -145,6 +173,7 @@
 
 # ---- tokens of an answer ------------------------------------------------------------------------------
 
+
 def done(status: int = 0, rows: int = 0) -> bytes:
     """A DONE token."""
     return struct.pack("<BHHQ", DONE, status | (COUNT if rows else 0), 0xC1 if rows else 0, rows)
@@ -153,8 +182,14 @@
 def error(number: int, text: str, severity: int = 16, server: str = "aspenrill") -> bytes:
     """An ERROR token."""
     said = text.encode("utf-16-le")
-    body = (struct.pack("<iBB", number, 1, severity) + struct.pack("<H", len(said) // 2) + said
-            + short_text(server) + short_text("") + struct.pack("<i", 1))
+    body = (
+        struct.pack("<iBB", number, 1, severity)
+        + struct.pack("<H", len(said) // 2)
+        + said
+        + short_text(server)
+        + short_text("")
+        + struct.pack("<i", 1)
+    )
     return bytes([ERROR]) + struct.pack("<H", len(body)) + body
 
 
@@ -227,8 +262,8 @@
                     self.size += self.at - start
                     if self.size > self.most:
                         raise Malformed(f"result of over {self.most} bytes")
-                    self.kept.append(bytes(self.rest[start:self.at]))
-                del self.rest[:self.at]
+                    self.kept.append(bytes(self.rest[start : self.at]))
+                del self.rest[: self.at]
                 self.at = 0
         except Short:
             if len(self.rest) > self.most + MOST_PACKET:
@@ -240,7 +275,7 @@
         end = self.at + count
         if end > len(self.rest):
             raise Short
-        data = bytes(self.rest[self.at:end])
+        data = bytes(self.rest[self.at : end])
         self.at = end
         return data
 
@@ -288,7 +323,7 @@
         if len(body) < 8:
             raise Malformed("message token too short")
         number, _, _, count = struct.unpack_from("<iBBH", body)
-        return number, body[8:8 + 2 * count].decode("utf-16-le", "replace")
+        return number, body[8 : 8 + 2 * count].decode("utf-16-le", "replace")
 
     def _columns(self) -> list[Column]:
         count = self._number("<H")
@@ -346,6 +381,10 @@
             continue
         columns = reader.answer.columns or []
         nulls = reader._bytes((len(columns) + 7) // 8) if kind == NBCROW else b""
-        rows.append([None if nulls and nulls[at // 8] >> (at % 8) & 1 else
-                     cell_text(c.kind, reader._value(c)) for at, c in enumerate(columns)])
+        rows.append(
+            [
+                None if nulls and nulls[at // 8] >> (at % 8) & 1 else cell_text(c.kind, reader._value(c))
+                for at, c in enumerate(columns)
+            ]
+        )
     return rows
--- a/aspenrill/wire/thrift.py
+++ b/aspenrill/wire/thrift.py
@@ -1,4 +1,5 @@
 """Thrift's strict binary protocol, as far as the front needs it."""
+
 from __future__ import annotations
 
 import struct
@@ -13,8 +14,14 @@
 VERSION = 0x8001
 DEEPEST = 8
 WORD, BYTE_, SHORT, INT = (struct.Struct(form) for form in (">I", ">b", ">h", ">i"))
-FIXED = {BOOL: BYTE_, BYTE: BYTE_, I16: SHORT, I32: INT, I64: struct.Struct(">q"),
-         DOUBLE: struct.Struct(">d")}
+FIXED = {
+    BOOL: BYTE_,
+    BYTE: BYTE_,
+    I16: SHORT,
+    I32: INT,
+    I64: struct.Struct(">q"),
+    DOUBLE: struct.Struct(">d"),
+}
 
 
 @dataclass(frozen=True)
@@ -42,11 +49,11 @@
         at = self.at + 4
         if at > self.end:
             raise Malformed(f"message ends within a length at byte {self.at}")
-        size = int.from_bytes(self.data[at - 4:at], "big", signed=True)
+        size = int.from_bytes(self.data[at - 4 : at], "big", signed=True)
         self.at = at + size
         if size < 0 or self.at > self.end:
             raise Malformed(f"length {size} at byte {at - 4}")
-        return self.data[at:self.at]
+        return self.data[at : self.at]
 
     def count(self, least: int) -> int:
         """Number of elements, each of at least so many bytes."""
@@ -101,7 +108,7 @@
             args = None
     except Malformed:
         args = None
-    return Message(head & 0xff, name, seqid, args)
+    return Message(head & 0xFF, name, seqid, args)
 
 
 def blob(data: bytes) -> bytes:
@@ -138,7 +145,7 @@
         return None
     at += len(SERVE)
     try:
-        seqid = int.from_bytes(data[at:at + 4], "big", signed=True)
+        seqid = int.from_bytes(data[at : at + 4], "big", signed=True)
         at += 4
         if not data.startswith(FIELDS, at):
             return None
@@ -148,11 +155,11 @@
             if data[at] or data[at + 1]:
                 return None
             stop = at + 4 + (data[at + 2] << 8 | data[at + 3])
-            key, at = data[at + 4:stop], stop
+            key, at = data[at + 4 : stop], stop
             if data[at] or data[at + 1]:
                 return None
             stop = at + 4 + (data[at + 2] << 8 | data[at + 3])
-            fields[key], at = data[at + 4:stop], stop
+            fields[key], at = data[at + 4 : stop], stop
         if not data.startswith(BODY, at):
             return None
         start = at + 7
@@ -171,15 +178,29 @@
 def answer_parts(seqid: int, pages: tuple[bytes, ...]) -> list[bytes]:
     """A good reply to `serve` that holds these pages one behind the other, in parts that need no joining."""
     size = sum(map(len, pages))
-    head = SERVED.pack(SERVED.size - 4 + size + len(SERVED_END), VERSION << 16 | REPLY, 5, b"serve", seqid,
-                       STRUCT, 0, STRING, 1, size)
+    head = SERVED.pack(
+        SERVED.size - 4 + size + len(SERVED_END),
+        VERSION << 16 | REPLY,
+        5,
+        b"serve",
+        seqid,
+        STRUCT,
+        0,
+        STRING,
+        1,
+        size,
+    )
     return [head, *pages, SERVED_END]
 
 
 def answer(name: str, seqid: int, body: bytes, fields: dict[str, str], good: bool) -> bytes:
     """A reply that holds an Answer."""
-    inner = (field(STRING, 1, blob(body)) + field(MAP, 2, text_map(fields))
-             + field(BOOL, 3, b"\1" if good else b"\0") + b"\0")
+    inner = (
+        field(STRING, 1, blob(body))
+        + field(MAP, 2, text_map(fields))
+        + field(BOOL, 3, b"\1" if good else b"\0")
+        + b"\0"
+    )
     return frame(REPLY, name, seqid, field(STRUCT, 0, inner))
 
 
--- a/benchmarks/bench.py
+++ b/benchmarks/bench.py
@@ -1,4 +1,5 @@
 """The program in a child process, between the peers of a benchmark: its configuration, one exchange."""
+
 from __future__ import annotations
 
 import ctypes
@@ -32,17 +33,42 @@
 LOOKUP = b"".join(b"%d\ttowels\tok\n" % at for at in range(4))
 SETTINGS = {
     "classes": [
-        {"name": "par-lookup", "effect": "repeatable", "on_time_ns": 10**9, "give_up_ns": 25 * 10**9,
-         "value": 1.0},
-        {"name": "usage-report", "effect": "repeatable", "on_time_ns": 3 * 10**9, "give_up_ns": 25 * 10**9,
-         "value": 8.0}],
-    "kinds": ["std"], "areas": ["a"], "tenants": [{"name": "main"}], "group_size": 1,
-    "limits": {"most_tries": 4, "cancel": True, "may_probe": True, "conn_idle_ns": 3600 * 10**9,
-               "max_retry_after_ns": 2 * 10**9},
+        {
+            "name": "par-lookup",
+            "effect": "repeatable",
+            "on_time_ns": 10**9,
+            "give_up_ns": 25 * 10**9,
+            "value": 1.0,
+        },
+        {
+            "name": "usage-report",
+            "effect": "repeatable",
+            "on_time_ns": 3 * 10**9,
+            "give_up_ns": 25 * 10**9,
+            "value": 8.0,
+        },
+    ],
+    "kinds": ["std"],
+    "areas": ["a"],
+    "tenants": [{"name": "main"}],
+    "group_size": 1,
+    "limits": {
+        "most_tries": 4,
+        "cancel": True,
+        "may_probe": True,
+        "conn_idle_ns": 3600 * 10**9,
+        "max_retry_after_ns": 2 * 10**9,
+    },
     "stats": {"fields": ["util", "queue"]},
-    "family_info": {"cores_by_kind": [64], "dop": [1, 2], "is_load": [False, False], "lanes_count": True,
-                    "says_cost": True}}
-SIDECAR = '''name = "bench"
+    "family_info": {
+        "cores_by_kind": [64],
+        "dop": [1, 2],
+        "is_load": [False, False],
+        "lanes_count": True,
+        "says_cost": True,
+    },
+}
+SIDECAR = """name = "bench"
 enabled = true
 listen = "127.0.0.1:{listen}"
 [[class]]
@@ -77,7 +103,7 @@
 name = "engine-1"
 address = "127.0.0.1:{engine}"
 kind = "std"
-'''
+"""
 
 
 class Bench:
@@ -89,17 +115,36 @@
         self.folder = Path(tempfile.mkdtemp())
         port, engine = free_port(), self.peers.engine.getsockname()[1]
         self.address = ("127.0.0.1", port)
-        env = {"PYTHONPATH": str(root), "PYTHONHASHSEED": "0", "PATH": os.environ["PATH"],
-               "PYTHONDONTWRITEBYTECODE": "1"}
+        env = {
+            "PYTHONPATH": str(root),
+            "PYTHONHASHSEED": "0",
+            "PATH": os.environ["PATH"],
+            "PYTHONDONTWRITEBYTECODE": "1",
+        }
         words = []
         if protocol == "thrift":
-            hosts = [{"host": "s-00000001", "dial": f"127.0.0.1:{engine}", "site": "a", "class": "std",
-                      "block": 0, "health": "in_service", "share": 1, "born_ms": 0}]
+            hosts = [
+                {
+                    "host": "s-00000001",
+                    "dial": f"127.0.0.1:{engine}",
+                    "site": "a",
+                    "class": "std",
+                    "block": 0,
+                    "health": "in_service",
+                    "share": 1,
+                    "born_ms": 0,
+                }
+            ]
             news = {"no": 1, "roster": {"seq": 1, "whole": True, "hosts": hosts}}
-            config = {"name": "bench", "listen": f"127.0.0.1:{port}", "seed": "1",
-                      "limits": {"sockets": 1024}, "settings": SETTINGS,
-                      "bulletin": f"127.0.0.1:{self.peers.bulletin.getsockname()[1]}",
-                      "known": {"no": 1, "items": [news]}}
+            config = {
+                "name": "bench",
+                "listen": f"127.0.0.1:{port}",
+                "seed": "1",
+                "limits": {"sockets": 1024},
+                "settings": SETTINGS,
+                "bulletin": f"127.0.0.1:{self.peers.bulletin.getsockname()[1]}",
+                "known": {"no": 1, "items": [news]},
+            }
             (self.folder / "config.json").write_text(json.dumps(config))
             env["NODE_CONFIG"] = str(self.folder / "config.json")
         else:
@@ -109,9 +154,15 @@
             env |= {"LD_PRELOAD": str(shim), "PYTHONMALLOC": "malloc"}
         self.out, theirs = os.pipe()
         self.log = open(self.folder / "log", "w+")  # noqa: SIM115
-        self.child = subprocess.Popen([sys.executable, str(HERE / "child.py"), mode, str(theirs), *words],
-                                      env=env, cwd=root, pass_fds=[theirs], stderr=self.log, stdout=self.log,
-                                      preexec_fn=None if mode == "cpu" else same_addresses)
+        self.child = subprocess.Popen(
+            [sys.executable, str(HERE / "child.py"), mode, str(theirs), *words],
+            env=env,
+            cwd=root,
+            pass_fds=[theirs],
+            stderr=self.log,
+            stdout=self.log,
+            preexec_fn=None if mode == "cpu" else same_addresses,
+        )
         os.close(theirs)
         self.peers.pid, self.peers.in_step = self.child.pid, mode != "cpu"
         self.clients: list[Any] = []
@@ -131,8 +182,11 @@
 
     def client_for(self, user: str) -> None:
         """One more client."""
-        self.clients.append(ThriftClient(self.address, len(self.clients) + 1) if self.protocol == "thrift"
-                            else TdsClient(self.address, user))
+        self.clients.append(
+            ThriftClient(self.address, len(self.clients) + 1)
+            if self.protocol == "thrift"
+            else TdsClient(self.address, user)
+        )
 
     def told(self) -> dict[str, float]:
         """What the child has counted so far."""
@@ -162,14 +216,22 @@
         if not message.args or 0 not in message.args:
             raise RuntimeError(f"not served: {message}")
 
-    def exchange(self, frames: int, clients: list[ThriftClient], kind: str = "par-lookup",
-                 pages: tuple[bytes, ...] = (LOOKUP,)) -> None:
+    def exchange(
+        self,
+        frames: int,
+        clients: list[ThriftClient],
+        kind: str = "par-lookup",
+        pages: tuple[bytes, ...] = (LOOKUP,),
+    ) -> None:
         """So many requests on each client, in one segment each; the engine answers all of them at once."""
         with self.peers.together():
             for client in clients:
-                client.wire.sock.sendall(b"".join(
-                    client.call(kind, "select id, what, state from sales_17.orders where id = 123456")
-                    for _ in range(frames)))
+                client.wire.sock.sendall(
+                    b"".join(
+                        client.call(kind, "select id, what, state from sales_17.orders where id = 123456")
+                        for _ in range(frames)
+                    )
+                )
         got = self.peers.requests(frames * len(clients), http_split)
         with self.peers.together():
             for wire, _ in got:
--- a/benchmarks/budget.py
+++ b/benchmarks/budget.py
@@ -4,6 +4,7 @@
 budget.toml, which is kept per Python version: what the interpreter allocates differs between them. --write
 puts the counts of now there. --repeat counts so often and fails where two runs differ.
 """
+
 from __future__ import annotations
 
 import argparse
@@ -30,8 +31,11 @@
 
 def over(now: dict[str, float], allowed: dict[str, float]) -> list[str]:
     """The counts that are above what is allowed by more than the margin, each as a line."""
-    return [f"{name}: {value:g}, allowed {allowed.get(name, 0):g}" for name, value in sorted(now.items())
-            if value > allowed.get(name, 0) * (1 + MARGIN) + SLACK]
+    return [
+        f"{name}: {value:g}, allowed {allowed.get(name, 0):g}"
+        for name, value in sorted(now.items())
+        if value > allowed.get(name, 0) * (1 + MARGIN) + SLACK
+    ]
 
 
 def main(words: list[str] | None = None) -> int:
@@ -46,8 +50,9 @@
     budgets = tomllib.loads(args.file.read_text()) if args.file.exists() else {}
     allowed = budgets.setdefault(version, {})
     if not allowed and not args.write:
-        print(f"no budget for Python {version}: python -m benchmarks.budget --write makes one",
-              file=sys.stderr)
+        print(
+            f"no budget for Python {version}: python -m benchmarks.budget --write makes one", file=sys.stderr
+        )
         return 2
     failed = 0
     with shim() as library:
@@ -59,8 +64,11 @@
             faults = [f"{name}: differs from run to run" for name in differ]
             if not args.write:
                 faults += over(found[0], allowed.get(scenario.name, {}))
-            print(f"{scenario.name}: {'over budget' if faults else 'kept'}"
-                  + (f", {args.repeat} runs alike" if args.repeat > 1 and not differ else ""), flush=True)
+            print(
+                f"{scenario.name}: {'over budget' if faults else 'kept'}"
+                + (f", {args.repeat} runs alike" if args.repeat > 1 and not differ else ""),
+                flush=True,
+            )
             for line in faults:
                 print(f"  {line}")
             failed += bool(faults)
--- a/benchmarks/charts.py
+++ b/benchmarks/charts.py
@@ -2,6 +2,7 @@
 
 PATH.json comes from `benchmarks.path --against REV --json`, OVERLOAD.json from `benchmarks.overload --json`.
 """
+
 from __future__ import annotations
 
 import json
@@ -22,8 +23,12 @@
     figure, (left, right) = plt.subplots(1, 2, figsize=(13, 4.6))
     names = [name for name in path["counts"] if name in path["before"]]
     for at, what in enumerate((*FIGURES, "CPU")):
-        values = [path["cpu"][n].get("ratio", 0) if what == "CPU" else
-                  path["counts"][n].get(what, 0) / path["before"][n].get(what, 1) for n in names]
+        values = [
+            path["cpu"][n].get("ratio", 0)
+            if what == "CPU"
+            else path["counts"][n].get(what, 0) / path["before"][n].get(what, 1)
+            for n in names
+        ]
         left.barh([y + 0.2 * at for y in range(len(names))], values, 0.18, label=what)
     left.set_yticks([y + 0.3 for y in range(len(names))], names)
     left.invert_yaxis()
@@ -35,13 +40,17 @@
         right.plot([row["offered"] for row in rows], [row["good"] for row in rows], marker="o", label=name)
     most = max(row["offered"] for row in overload["rows"])
     right.plot([0, most], [0, most], color="grey", lw=0.8, ls=":")
-    right.set(xlabel="offered, a second", ylabel="answered within 1 s, a second", ylim=(0, None),
-              xlim=(0, most))
+    right.set(
+        xlabel="offered, a second", ylabel="answered within 1 s, a second", ylim=(0, None), xlim=(0, most)
+    )
     right.legend(fontsize=8)
     figure.tight_layout()
     figure.savefig(out, metadata={"Date": None})
 
 
 if __name__ == "__main__":
-    draw(json.loads(Path(sys.argv[1]).read_text()), json.loads(Path(sys.argv[2]).read_text()),
-         Path(sys.argv[3]))
+    draw(
+        json.loads(Path(sys.argv[1]).read_text()),
+        json.loads(Path(sys.argv[2]).read_text()),
+        Path(sys.argv[3]),
+    )
--- a/benchmarks/child.py
+++ b/benchmarks/child.py
@@ -3,6 +3,7 @@
 MODE is counts (calls and bytes), blocks (memory) or cpu. SIGUSR2 writes what was counted so far to FD, a line
 of JSON each.
 """
+
 from __future__ import annotations
 
 import gc
--- a/benchmarks/counting.py
+++ b/benchmarks/counting.py
@@ -3,6 +3,7 @@
 `install` wraps the system's calls and a few of the program's own functions, before the program is imported.
 The clock then steps with events, not with time, so that the same script gives the same counts.
 """
+
 from __future__ import annotations
 
 import ctypes
@@ -54,6 +55,7 @@
             def change(*args: Any) -> None:
                 counts["registration"] += 1
                 call(*args)
+
             return change
 
         def poll(self, timeout: float | None = None) -> list[tuple[int, int]]:
@@ -74,6 +76,7 @@
 
 def wrap_sockets() -> None:
     """Count calls on sockets, and the bytes that pass."""
+
     class Socket(socket.socket):
         """A socket whose calls are counted."""
 
--- a/benchmarks/fleet_authority.py
+++ b/benchmarks/fleet_authority.py
@@ -6,6 +6,7 @@
 On a virtual clock, free of I/O; the parts are the program's own. Messages take 1 to 21 ms; loss is of each
 message by itself; board entries take up to half a second. Times are seconds as median and longest over runs.
 """
+
 from __future__ import annotations
 
 import argparse
--- a/benchmarks/fleet_forecast.py
+++ b/benchmarks/fleet_forecast.py
@@ -8,6 +8,7 @@
 before the first origin. Then the schedule is played with a limit that the size reaches, and with one that
 it does not reach.
 """
+
 from __future__ import annotations
 
 import argparse
@@ -29,19 +30,26 @@
 WEEKLY = [1.15, 1.1, 1.1, 1.05, 1.2, 0.7, 0.7]
 
 
-
-def plain(level: Callable[[float], float], daily: bool = True, weekly: bool = True,
-          noise: float = 0.3) -> Callable[[random.Random], list[float]]:
+def plain(
+    level: Callable[[float], float], daily: bool = True, weekly: bool = True, noise: float = 0.3
+) -> Callable[[random.Random], list[float]]:
     """Hours of a level by day, with seasons, and noise by hour and by day."""
+
     def make(rng: random.Random) -> list[float]:
         hours = []
         for day in range(DAYS):
             whole = rng.lognormvariate(-0.005, 0.1)
             for hour in range(DAY):
                 season = (DAILY[hour] if daily else 1) * (WEEKLY[day % 7] if weekly else 1)
-                hours.append(1e6 * level(day + hour / DAY) * season * whole
-                             * rng.lognormvariate(-noise * noise / 2, noise))
+                hours.append(
+                    1e6
+                    * level(day + hour / DAY)
+                    * season
+                    * whole
+                    * rng.lognormvariate(-noise * noise / 2, noise)
+                )
         return hours
+
     return make
 
 
@@ -60,8 +68,8 @@
     hours = plain(lambda d: 1 + d / 60)(rng)
     for _ in range(10):
         at, long = rng.randrange(len(hours) - 48), rng.randrange(12, 31)
-        kept = sum(hours[at:at + long])
-        hours[at:at + long] = [0.0] * long
+        kept = sum(hours[at : at + long])
+        hours[at : at + long] = [0.0] * long
         for hour in range(at + long, at + long + 6):
             hours[hour] += kept / 6
     return hours
@@ -78,8 +86,8 @@
     "daily and weekly season": plain(lambda d: 1.0),
     "linear growth": plain(lambda d: 0.5 + d / 40),
     "growth that ends": plain(lambda d: 1 + 2 / (1 + math.exp(-(d - 30) / 6))),
-    "compound growth, 2% a day": plain(lambda d: 1.02 ** d),
-    "decline": plain(lambda d: 0.985 ** d),
+    "compound growth, 2% a day": plain(lambda d: 1.02**d),
+    "decline": plain(lambda d: 0.985**d),
     "jump up": plain(lambda d: 1.0 if d < 33 else 2.2),
     "jump down": plain(lambda d: 2.0 if d < 33 else 0.9),
     "two jumps": plain(lambda d: 1.0 if d < 26 else 1.8 if d < 42 else 1.1),
@@ -116,7 +124,7 @@
 def line(series: Series) -> float:
     """A day's growth: the slope of the size over the last two weeks."""
     size, points = 0.0, []
-    for at, value in enumerate(series[-14 * DAY:]):
+    for at, value in enumerate(series[-14 * DAY :]):
         if value is not None:
             size += value
             points.append((at, size))
@@ -129,15 +137,20 @@
     rng = random.Random(f"{name}/{seed}")
     hours = HISTORIES[name](rng)
     missing = holes(name, rng, len(hours))
-    scale = {h: statistics.mean(abs(sum(hours[d * DAY:(d + h) * DAY]) - h * sum(hours[(d - 1) * DAY:d * DAY]))
-                                for d in range(1, FIRST_ORIGIN - h)) for h in HORIZONS}
+    scale = {
+        h: statistics.mean(
+            abs(sum(hours[d * DAY : (d + h) * DAY]) - h * sum(hours[(d - 1) * DAY : d * DAY]))
+            for d in range(1, FIRST_ORIGIN - h)
+        )
+        for h in HORIZONS
+    }
     out: dict = {h: {what: [] for what in (*GUESSES, *SHARES)} for h in HORIZONS}
     for origin in range(FIRST_ORIGIN, DAYS - max(HORIZONS) + 1, 2):
         end = origin * DAY
         series = known(name, hours, missing, end, rng)
         guess = forecast(FIRST_HOUR, series, random.Random(f"{name}/{seed}/{origin}"), rules)
         for horizon, found in out.items():
-            truth = sum(hours[end:end + horizon * DAY])
+            truth = sum(hours[end : end + horizon * DAY])
             mid, low, high = (line_[horizon - 1] for line_ in (guess.mid, guess.low, guess.high))
             found["forecast"].append(abs(mid - truth) / scale[horizon])
             found["last value"].append(abs(horizon * last_value(series) - truth) / scale[horizon])
@@ -177,8 +190,13 @@
         if split is not None and split.at < FIRST_HOUR + end + 12:
             done = split.at - FIRST_HOUR + schedule.window
             needed = reached is not None and reached - done <= 1.5 * schedule.lead
-            return {"planned": planned, "done": done, "reached": reached,
-                    "in time": reached is None or done <= reached, "needed": needed}
+            return {
+                "planned": planned,
+                "done": done,
+                "reached": reached,
+                "in time": reached is None or done <= reached,
+                "needed": needed,
+            }
     return {"planned": planned, "done": None, "reached": reached, "in time": reached is None, "needed": False}
 
 
@@ -189,18 +207,22 @@
         runs = [errors(name, seed, rules) for seed in range(seeds)]
         row: dict = {}
         for horizon in HORIZONS:
-            row[horizon] = {what: statistics.mean(v for run in runs for v in run[horizon][what])
-                            for what in runs[0][horizon]}
+            row[horizon] = {
+                what: statistics.mean(v for run in runs for v in run[horizon][what])
+                for what in runs[0][horizon]
+            }
         plays = [play(name, seed, rules, 0.7) for seed in range(seeds)]
         idle = [play(name, seed, rules, 1.6) for seed in range(seeds)]
         ahead = [(p["reached"] - p["done"]) / DAY for p in plays if p["done"]]
-        row["splits"] = {"in time": sum(p["in time"] for p in plays),
-                         "late": sum(not p["in time"] for p in plays),
-                         "plans": sum(p["planned"] for p in plays),
-                         "not needed": sum(p["done"] is not None and not p["needed"] for p in plays),
-                         "days before": statistics.mean(ahead) if ahead else None,
-                         "idle": sum(p["done"] is not None for p in idle),
-                         "idle plans": sum(p["planned"] for p in idle)}
+        row["splits"] = {
+            "in time": sum(p["in time"] for p in plays),
+            "late": sum(not p["in time"] for p in plays),
+            "plans": sum(p["planned"] for p in plays),
+            "not needed": sum(p["done"] is not None and not p["needed"] for p in plays),
+            "days before": statistics.mean(ahead) if ahead else None,
+            "idle": sum(p["done"] is not None for p in idle),
+            "idle plans": sum(p["planned"] for p in idle),
+        }
         result[name] = row
     return result
 
@@ -212,14 +234,20 @@
 def table(result: dict) -> str:
     """Markdown."""
     heads = [f"{h} d: {what}" for h in HORIZONS for what in (*GUESSES, *SHARES)]
-    out = ["| history | " + " | ".join((*heads, *COUNTED[:-1], "no limit: done")) + " |",
-           "| --- |" + " ---: |" * 14]
+    out = [
+        "| history | " + " | ".join((*heads, *COUNTED[:-1], "no limit: done")) + " |",
+        "| --- |" + " ---: |" * 14,
+    ]
     for name, row in result.items():
-        cells = [f"{row[h][k]:.2f}" if k in GUESSES else f"{row[h][k]:.0%}"
-                 for h in HORIZONS for k in (*GUESSES, *SHARES)]
+        cells = [
+            f"{row[h][k]:.2f}" if k in GUESSES else f"{row[h][k]:.0%}"
+            for h in HORIZONS
+            for k in (*GUESSES, *SHARES)
+        ]
         out.append(f"| {name} | " + " | ".join((*cells, *(str(row["splits"][k]) for k in COUNTED))) + " |")
-    means = [statistics.mean(row[h][k] for row in result.values()) for h in HORIZONS
-             for k in (*GUESSES, *SHARES)]
+    means = [
+        statistics.mean(row[h][k] for row in result.values()) for h in HORIZONS for k in (*GUESSES, *SHARES)
+    ]
     sums = [sum(row["splits"][k] for row in result.values()) for k in COUNTED]
     out.append("| **all** | " + " | ".join((*(f"{m:.2f}" for m in means), *map(str, sums))) + " |")
     return "\n".join(out)
@@ -236,8 +264,9 @@
     figure, (left, right) = plt.subplots(1, 2, figsize=(13, 5.5), sharey=True)
     names = list(result)
     for at, what in enumerate(("forecast", "last value", "line")):
-        left.barh([y + 0.25 * at for y in range(len(names))], [result[n][7][what] for n in names], 0.23,
-                  label=what)
+        left.barh(
+            [y + 0.25 * at for y in range(len(names))], [result[n][7][what] for n in names], 0.23, label=what
+        )
     left.set_yticks([y + 0.25 for y in range(len(names))], names)
     left.invert_yaxis()
     left.set_xlabel("MASE, growth of 7 days")
--- a/benchmarks/fleet_overload.py
+++ b/benchmarks/fleet_overload.py
@@ -11,6 +11,7 @@
 part gives it. Clients of a process that is killed come to the others. What it leaves out: single engines,
 their health, handshakes, memory, and time that the front ends themselves take.
 """
+
 from __future__ import annotations
 
 import argparse
@@ -125,16 +126,28 @@
     def post(self, node: Node, to: str, body: bytes) -> None:
         if self.random.random() >= self.loss and self.side[node.name] == self.side[to]:
             other = self.names[to]
-            self.mail.append((self.time + 0.02, to, lambda: other.act(other.bridge.part.on_message(
-                other.now, node.name, node.incarnation, body))))
+            self.mail.append(
+                (
+                    self.time + 0.02,
+                    to,
+                    lambda: other.act(
+                        other.bridge.part.on_message(other.now, node.name, node.incarnation, body)
+                    ),
+                )
+            )
 
     def put(self, node: Node, put: Put) -> None:
         self.version += 1
         entry = Entry(node.name, node.incarnation, put.topic, self.version, put.value)
         for other in self.nodes:
             if other is not node and other.up and self.side[node.name] == self.side[other.name]:
-                self.mail.append((self.time + SPREAD * (1 + (self.random.random() < self.loss)), other.name,
-                                  lambda o=other: o.act(o.bridge.part.on_entry(o.now, entry))))
+                self.mail.append(
+                    (
+                        self.time + SPREAD * (1 + (self.random.random() < self.loss)),
+                        other.name,
+                        lambda o=other: o.act(o.bridge.part.on_entry(o.now, entry)),
+                    )
+                )
 
     def look(self) -> None:
         """Who is there, as each side sees it."""
@@ -165,8 +178,9 @@
             if step % TICKS == 0:
                 self.look()
             total = LOAD * self.pool / (len(self.nodes) + (HOT - 1) * len(self.hot))
-            spread = sum(total * (HOT if n.index in self.hot else 1)
-                         for n in self.nodes if not n.up or n.paused)
+            spread = sum(
+                total * (HOT if n.index in self.hot else 1) for n in self.nodes if not n.up or n.paused
+            )
             there = [n for n in self.nodes if n.up and not n.paused]
             for node in there:
                 node.clients(total * (HOT if node.index in self.hot else 1) + spread / len(there))
@@ -208,8 +222,13 @@
     world.run(seconds)
 
 
-FAULTS = {"none": nothing, "third killed": third_killed, "partition": partition, "loss 20%": loss,
-          "pause": pause}
+FAULTS = {
+    "none": nothing,
+    "third killed": third_killed,
+    "partition": partition,
+    "loss 20%": loss,
+    "pause": pause,
+}
 
 
 def worth(count: int, seed: int, fault: str, hot: tuple[int, ...], seconds: float) -> dict:
@@ -221,8 +240,14 @@
         world.asked = world.served = 0.0
         FAULTS[fault](world, seconds)
         found[peers] = world.served / world.asked
-    return {"processes": count, "fault": fault, "hot": len(hot), "without": found[False], "with": found[True],
-            "ratio": found[True] / found[False]}
+    return {
+        "processes": count,
+        "fault": fault,
+        "hot": len(hot),
+        "without": found[False],
+        "with": found[True],
+        "ratio": found[True] / found[False],
+    }
 
 
 def converge(count: int, seed: int) -> float | None:
@@ -279,8 +304,11 @@
     plan += [(args.fault_size, fault, (0,)) for fault in FAULTS if fault != "none" and args.fault_size]
     for count, fault, hot in dict.fromkeys(plan):
         rows.append(row := worth(count, args.seed, fault, hot, args.seconds))
-        print(f"{count:>9} {row['hot']:>4} {fault:<13} {row['without']:>8.3f} {row['with']:>8.3f} "
-              f"{row['ratio']:>6.3f}", flush=True)
+        print(
+            f"{count:>9} {row['hot']:>4} {fault:<13} {row['without']:>8.3f} {row['with']:>8.3f} "
+            f"{row['ratio']:>6.3f}",
+            flush=True,
+        )
     asked = {count: probes(count) for count in (3, 30, 200, 1100)}
     print("probes at an engine out for 120 s: alone", alone, *(f"{n}: {k}" for n, k in asked.items()))
     times = {n: converge(n, args.seed) for n in sizes if n <= 30}
--- a/benchmarks/fleet_purges.py
+++ b/benchmarks/fleet_purges.py
@@ -6,6 +6,7 @@
 all that live have acknowledged it, bytes sent by its origin for it, and answers that could be served after
 completion though they were older: every store is looked at.
 """
+
 from __future__ import annotations
 
 import argparse
@@ -36,8 +37,14 @@
         sites = max(1, min(size, -(-size // 70)))
         self.fault = fault
         self.world, self.truth = build(
-            seed, size, sites=max(sites, 3 if size >= 30 else 1), buildings=3 if size >= 30 else 1,
-            rate=min(1.0, 60 / size), loads=0.0, link=Link(delay_ms=1, jitter_ms=19))
+            seed,
+            size,
+            sites=max(sites, 3 if size >= 30 else 1),
+            buildings=3 if size >= 30 else 1,
+            rate=min(1.0, 60 / size),
+            loads=0.0,
+            link=Link(delay_ms=1, jitter_ms=19),
+        )
         self.truth.loose = 1 << 30  # only after a completion
         self.bytes = 0
         self.origin = ""
@@ -58,7 +65,8 @@
         def ready() -> bool:
             live = [proc for proc in world.running if not proc.paused]
             return any(p.part("authority").settled(0.0) for p in live) and all(
-                p.part("purges").store.serves(p.clock()) for p in live)
+                p.part("purges").store.serves(p.clock()) for p in live
+            )
 
         end = world.now + within
         while world.now < end and not ready():
@@ -88,8 +96,11 @@
                 world.net.part([n for n in victims if world.procs[n].place.site == far])
         if len(names) == 3 and self.fault in ("relay killed", "member paused", "site cut"):
             third = next(n for n in names if n != root)
-            {"relay killed": lambda: world.crash(third), "member paused": lambda: world.pause(third, 15.0),
-             "site cut": lambda: world.net.part([third])}[self.fault]()
+            {
+                "relay killed": lambda: world.crash(third),
+                "member paused": lambda: world.pause(third, 15.0),
+                "site cut": lambda: world.net.part([third]),
+            }[self.fault]()
         self.origin = root if len(names) == 3 else names[at % 3]
 
     def purges(self) -> list[dict[str, float]]:
@@ -104,8 +115,13 @@
             origin = self.world.procs[self.origin].part("purges").origin
             one = origin.out[origin.last]
             done = self.world.until(lambda: one.complete is not None, 30.0)  # noqa: B023
-            rows.append({"complete": self.world.now - began if done else float("inf"), "bytes": self.bytes,
-                         "acknowledged": (one.everywhere - one.began) if one.everywhere else float("inf")})
+            rows.append(
+                {
+                    "complete": self.world.now - began if done else float("inf"),
+                    "bytes": self.bytes,
+                    "acknowledged": (one.everywhere - one.began) if one.everywhere else float("inf"),
+                }
+            )
             self.world.calm()
             self.world.run(12.0 if self.fault in ("member paused", "site cut") else 1.0)
         return rows
@@ -124,13 +140,18 @@
             old += 1
     times = sorted(row["complete"] for row in rows)
     heard = sorted(row["acknowledged"] for row in rows)
-    return {"size": size, "fault": fault, "purges": len(rows), "median_s": round(median(times), 3),
-            "p99_s": round(times[min(len(times) - 1, int(0.99 * len(times)))], 3),
-            # "-" where leases ended first: the rest is told by the log, and spreading stops
-            "acknowledged_median_s": round(median(heard), 3) if median(heard) < 60 else None,
-            "old_answers": old,
-            "origin_bytes": round(median(row["bytes"] for row in rows)),
-            "took_s": round(time.perf_counter() - began, 1)}
+    return {
+        "size": size,
+        "fault": fault,
+        "purges": len(rows),
+        "median_s": round(median(times), 3),
+        "p99_s": round(times[min(len(times) - 1, int(0.99 * len(times)))], 3),
+        # "-" where leases ended first: the rest is told by the log, and spreading stops
+        "acknowledged_median_s": round(median(heard), 3) if median(heard) < 60 else None,
+        "old_answers": old,
+        "origin_bytes": round(median(row["bytes"] for row in rows)),
+        "took_s": round(time.perf_counter() - began, 1),
+    }
 
 
 def main() -> None:
@@ -140,9 +161,11 @@
     parser.add_argument("--sizes", type=int, nargs="+", default=SIZES)
     parser.add_argument("--json", type=Path)
     asked = parser.parse_args()
-    print(f"lease {LEASE:g} s\n"
-          "| processes | fault | purges | median s | 99% s | acknowledged s | origin bytes | old answers |\n"
-          "| --- | --- | --- | --- | --- | --- | --- | --- |")
+    print(
+        f"lease {LEASE:g} s\n"
+        "| processes | fault | purges | median s | 99% s | acknowledged s | origin bytes | old answers |\n"
+        "| --- | --- | --- | --- | --- | --- | --- | --- |"
+    )
     found = []
     for size in asked.sizes:
         cluster.LOOK = 0.5 if size < 1000 else 2.0  # each looks at all others: the oracle's cost
@@ -151,8 +174,11 @@
             found.append(row)
             heard = row["acknowledged_median_s"]
             shown = "-" if heard is None else f"{heard:.2f}"
-            print(f"| {size} | {fault} | {row['purges']} | {row['median_s']:.2f} | {row['p99_s']:.2f} | "
-                  f"{shown} | {row['origin_bytes']} | {row['old_answers']} |", flush=True)
+            print(
+                f"| {size} | {fault} | {row['purges']} | {row['median_s']:.2f} | {row['p99_s']:.2f} | "
+                f"{shown} | {row['origin_bytes']} | {row['old_answers']} |",
+                flush=True,
+            )
     if asked.json:
         asked.json.write_text(json.dumps({"lease_s": LEASE, "rows": found}, indent=1) + "\n")
 
--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -4,6 +4,7 @@
 that answer at once. Each step offers a share of what the core can do, found first by asking as fast as
 answers come. A request counts as good where its answer came within a second.
 """
+
 from __future__ import annotations
 
 import argparse
@@ -111,7 +112,7 @@
             while len(held[at]) >= 4 and len(held[at]) >= 4 + (size := struct.unpack(">I", held[at][:4])[0]):
                 number = struct.unpack(">i", held[at][17:21])[0]
                 served = held[at][22:24] == b"\0\0"
-                del held[at][:4 + size]
+                del held[at][: 4 + size]
                 asked = pending[at].pop(number, None)
                 if asked is None:
                     continue
@@ -126,15 +127,26 @@
                 if not pace and time.monotonic() < until:
                     ask(at)
     waits.sort()
-    out.send((offered, good, late, refused, unsent, waits[len(waits) // 2] if waits else 0.0,
-              waits[int(len(waits) * 0.99)] if waits else 0.0))
+    out.send(
+        (
+            offered,
+            good,
+            late,
+            refused,
+            unsent,
+            waits[len(waits) // 2] if waits else 0.0,
+            waits[int(len(waits) * 0.99)] if waits else 0.0,
+        )
+    )
 
 
 def step(root: Path, pace: float, seconds: float) -> dict[str, float]:
     """One run of a fresh program."""
     bench = Bench(root, "cpu", "thrift", None)
-    processes = [multiprocessing.Process(target=engine, args=(bench.peers.engine,), daemon=True)
-                 for _ in range(ENGINES)]
+    processes = [
+        multiprocessing.Process(target=engine, args=(bench.peers.engine,), daemon=True)
+        for _ in range(ENGINES)
+    ]
     try:
         cores = sorted(os.sched_getaffinity(0))
         os.sched_setaffinity(bench.child.pid, {cores[-1]})
@@ -144,7 +156,8 @@
         for _ in range(CLIENTS):
             ours, theirs = multiprocessing.Pipe()
             process = multiprocessing.Process(
-                target=client, args=(bench.address, pace / CLIENTS, seconds, theirs), daemon=True)
+                target=client, args=(bench.address, pace / CLIENTS, seconds, theirs), daemon=True
+            )
             process.start()
             processes.append(process)
             pipes.append(ours)
@@ -157,9 +170,16 @@
             process.join()
         bench.close()
     sums = [sum(column) for column in zip(*told, strict=True)]
-    return {"offered": sums[0] / seconds, "good": sums[1] / seconds, "late": sums[2] / seconds,
-            "refused": sums[3] / seconds, "unsent": sums[4] / seconds, "p50": max(t[5] for t in told),
-            "p99": max(t[6] for t in told), "busy": busy}
+    return {
+        "offered": sums[0] / seconds,
+        "good": sums[1] / seconds,
+        "late": sums[2] / seconds,
+        "refused": sums[3] / seconds,
+        "unsent": sums[4] / seconds,
+        "p50": max(t[5] for t in told),
+        "p99": max(t[6] for t in told),
+        "busy": busy,
+    }
 
 
 def main(words: list[str] | None = None) -> int:
@@ -171,8 +191,10 @@
     args = parser.parse_args(words)
     with revision(args.against) if args.against else nullcontext() as old:
         roots = [(args.against, old)] * bool(old) + [("now", ROOT)]
-        print("| revision | offered, of what the core can do | offered /s | good /s | late /s | refused /s | "
-              "not sent /s | p50 ms | p99 ms | CPU |")
+        print(
+            "| revision | offered, of what the core can do | offered /s | good /s | late /s | refused /s | "
+            "not sent /s | p50 ms | p99 ms | CPU |"
+        )
         print("| --- |" + " --- |" * 9)
         knee = {name: step(root, 0, args.seconds)["good"] for name, root in roots}
         rows = []
@@ -180,10 +202,13 @@
             for name, root in roots:
                 row = step(root, share * knee["now"], args.seconds)
                 rows.append({"revision": name, "share": share, **row})
-                print(f"| {name} | {share:g} | {row['offered']:,.0f} | {row['good']:,.0f} | "
-                      f"{row['late']:,.0f} | {row['refused']:,.0f} | "
-                      f"{row['unsent']:,.0f} | {row['p50'] * 1000:.0f} | "
-                      f"{row['p99'] * 1000:.0f} | {row['busy']:.0%} |", flush=True)
+                print(
+                    f"| {name} | {share:g} | {row['offered']:,.0f} | {row['good']:,.0f} | "
+                    f"{row['late']:,.0f} | {row['refused']:,.0f} | "
+                    f"{row['unsent']:,.0f} | {row['p50'] * 1000:.0f} | "
+                    f"{row['p99'] * 1000:.0f} | {row['busy']:.0%} |",
+                    flush=True,
+                )
         for name, _ in roots:
             print(f"\n{name}: as fast as answers come, {knee[name]:,.0f} a second")
     if args.json:
--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -4,6 +4,7 @@
 work (each exactly repeatable), CPU time, and latencies. With --against an earlier revision is built in a work
 tree of its own and the two are run in turn.
 """
+
 from __future__ import annotations
 
 import argparse
@@ -50,6 +51,7 @@
 
 # ---- scenarios ----------------------------------------------------------------------------------------
 
+
 def lone(bench: Bench) -> None:
     bench.exchange(1, bench.clients[:1])
 
@@ -105,8 +107,9 @@
     [(wire, _)] = bench.peers.requests(1, tds_split)
     row = tds.text_row(["1234567", "a division of linen, named", "served"])
     with bench.peers.together():
-        wire.sock.sendall(tds.packets(tds.REPLY, tds.text_columns(["a", "b", "c"]) + row * rows
-                                      + tds.done(rows=rows)))
+        wire.sock.sendall(
+            tds.packets(tds.REPLY, tds.text_columns(["a", "b", "c"]) + row * rows + tds.done(rows=rows))
+        )
     client.message()
 
 
@@ -120,16 +123,20 @@
     _tds(bench, bench.clients[1], 400)
 
 
-SCENARIOS = {s.name: s for s in (
-    Scenario("par-lookup alone", "thrift", 1, 100, lone),
-    Scenario("32 open on a connection", "thrift", 32, 12, open32),
-    Scenario("bursts of 8 on 4 connections", "thrift", 32, 12, bursts),
-    Scenario("usage-report, 8 pages", "thrift", 1, 40, report8),
-    Scenario("usage-report, 40 pages", "thrift", 1, 20, report40),
-    Scenario("refused", "thrift", 1, 60, refused),
-    Scenario("one in ten retried", "thrift", 10, 10, retried),
-    Scenario("TDS lookup", "tds", 1, 60, tds_lookup),
-    Scenario("TDS report, 400 rows", "tds", 1, 30, tds_report))}
+SCENARIOS = {
+    s.name: s
+    for s in (
+        Scenario("par-lookup alone", "thrift", 1, 100, lone),
+        Scenario("32 open on a connection", "thrift", 32, 12, open32),
+        Scenario("bursts of 8 on 4 connections", "thrift", 32, 12, bursts),
+        Scenario("usage-report, 8 pages", "thrift", 1, 40, report8),
+        Scenario("usage-report, 40 pages", "thrift", 1, 20, report40),
+        Scenario("refused", "thrift", 1, 60, refused),
+        Scenario("one in ten retried", "thrift", 10, 10, retried),
+        Scenario("TDS lookup", "tds", 1, 60, tds_lookup),
+        Scenario("TDS report, 400 rows", "tds", 1, 30, tds_report),
+    )
+}
 
 
 SYSTEM = ("poll", "recv", "peek", "send", "accept", "connect")
@@ -197,8 +204,9 @@
             yield None
             return
         library = Path(folder) / "allocs.so"
-        subprocess.run([compiler, "-O2", "-shared", "-fPIC", "-o", str(library), str(HERE / "allocs.c")],
-                       check=True)
+        subprocess.run(
+            [compiler, "-O2", "-shared", "-fPIC", "-o", str(library), str(HERE / "allocs.c")], check=True
+        )
         yield library
 
 
@@ -229,8 +237,9 @@
     parser.add_argument("--against", metavar="REV", help="compare with an earlier revision")
     parser.add_argument("--only", default=".", help="scenarios whose name matches this")
     parser.add_argument("--json", metavar="FILE", help="write the counts there")
-    parser.add_argument("--pairs", type=int, default=5,
-                        help="how often CPU time is taken (default: 5; 0: not)")
+    parser.add_argument(
+        "--pairs", type=int, default=5, help="how often CPU time is taken (default: 5; 0: not)"
+    )
     parser.add_argument("--rounds", type=int, default=400, help="rounds of each timed run (default: 400)")
     args = parser.parse_args(words)
     chosen = [s for s in SCENARIOS.values() if re.search(args.only, s.name)]
@@ -249,8 +258,11 @@
                 times.append(timed(ROOT, scenario, rounds, histogram))
                 if before:
                     ratios.append(times[-1] / before)
-            row = {"us": statistics.median(times), "p50 us": histogram.get_value_at_percentile(50),
-                   "p99 us": histogram.get_value_at_percentile(99)}
+            row = {
+                "us": statistics.median(times),
+                "p50 us": histogram.get_value_at_percentile(50),
+                "p99 us": histogram.get_value_at_percentile(99),
+            }
             text = f"{scenario.name}: CPU {row['us']:.0f} us a request ({min(times):.0f} to {max(times):.0f})"
             if ratios:
                 row |= {"ratio": statistics.median(ratios), "least": min(ratios), "most": max(ratios)}
--- a/benchmarks/sizes.py
+++ b/benchmarks/sizes.py
@@ -5,6 +5,7 @@
 Markdown table: CPU of the start (imports left out), of a change of one engine, of a whole list told again, of
 a request; and the peak of the process's memory, also after lists have come and gone 200 times.
 """
+
 from __future__ import annotations
 
 import argparse
@@ -22,29 +23,71 @@
 from typing import Any
 
 SIZES = ("3x10", "40x60", "230x300", "1100x1100")
-CLASSES = (("lookup", "repeatable", 1, 5, 1), ("report", "repeatable", 2, 20, 8),
-           ("load", "by_key", 3, 25, 12))
+CLASSES = (
+    ("lookup", "repeatable", 1, 5, 1),
+    ("report", "repeatable", 2, 20, 8),
+    ("load", "by_key", 3, 25, 12),
+)
 
 
 def config(gateways: int, engines: int) -> dict[str, Any]:
     """As the platform would tell it: two kinds of engines, three zones, dear probes."""
-    hosts = [{"host": f"s-{i:08x}", "dial": f"127.{i >> 16 & 255}.{i >> 8 & 255}.{i & 255}:8080",
-              "site": "abc"[i % 3], "class": ("eight", "sixteen")[i % 2], "block": i // 6,
-              "health": "in_service", "share": 1, "born_ms": 0} for i in range(1, engines + 1)]
+    hosts = [
+        {
+            "host": f"s-{i:08x}",
+            "dial": f"127.{i >> 16 & 255}.{i >> 8 & 255}.{i & 255}:8080",
+            "site": "abc"[i % 3],
+            "class": ("eight", "sixteen")[i % 2],
+            "block": i // 6,
+            "health": "in_service",
+            "share": 1,
+            "born_ms": 0,
+        }
+        for i in range(1, engines + 1)
+    ]
     settings = {
-        "classes": [{"name": name, "effect": effect, "on_time_ns": aim * 10**9, "give_up_ns": wait * 10**9,
-                     "value": worth, "window_ns": 15 * 10**9} for name, effect, aim, wait, worth in CLASSES],
-        "kinds": ["eight", "sixteen"], "areas": list("abc"), "tenants": [], "group_size": gateways,
-        "me": gateways // 2, "family_info": {"dop": [1, 2, 2], "is_load": [False, False, True],
-                                             "says_cost": True, "lanes_count": True,
-                                             "cores_by_kind": [8, 16]},
-        "limits": {"most_tries": 5, "cancel": True, "may_probe": True}, "prices": {"probe": 0.08},
+        "classes": [
+            {
+                "name": name,
+                "effect": effect,
+                "on_time_ns": aim * 10**9,
+                "give_up_ns": wait * 10**9,
+                "value": worth,
+                "window_ns": 15 * 10**9,
+            }
+            for name, effect, aim, wait, worth in CLASSES
+        ],
+        "kinds": ["eight", "sixteen"],
+        "areas": list("abc"),
+        "tenants": [],
+        "group_size": gateways,
+        "me": gateways // 2,
+        "family_info": {
+            "dop": [1, 2, 2],
+            "is_load": [False, False, True],
+            "says_cost": True,
+            "lanes_count": True,
+            "cores_by_kind": [8, 16],
+        },
+        "limits": {"most_tries": 5, "cancel": True, "may_probe": True},
+        "prices": {"probe": 0.08},
         "stats": {"fields": ["util", "queue"]},
-        "guarantees": {"start_capacity": 0.31, "cold_ns": 12 * 10**9, "fall_multiple": 2.5,
-                       "fall_ns": 15 * 10**8}}
-    return {"name": "n1", "listen": "127.0.0.1:0", "seed": "1f", "limits": {"sockets": 512, "memory_mb": 64},
-            "bulletin": "127.0.0.1:9", "known": {"no": 1, "items": [{"no": 1, "roster": {
-                "seq": 1, "whole": True, "hosts": hosts}}]}, "settings": settings}
+        "guarantees": {
+            "start_capacity": 0.31,
+            "cold_ns": 12 * 10**9,
+            "fall_multiple": 2.5,
+            "fall_ns": 15 * 10**8,
+        },
+    }
+    return {
+        "name": "n1",
+        "listen": "127.0.0.1:0",
+        "seed": "1f",
+        "limits": {"sockets": 512, "memory_mb": 64},
+        "bulletin": "127.0.0.1:9",
+        "known": {"no": 1, "items": [{"no": 1, "roster": {"seq": 1, "whole": True, "hosts": hosts}}]},
+        "settings": settings,
+    }
 
 
 def peak_mb() -> float:
@@ -92,8 +135,17 @@
     def ask(at: int) -> None:
         cls = at % 20 // 15 + (at % 20 == 19)
         now = time.monotonic()
-        call = Call(f"{at:016x}", cls, 0, b"", None, at % 40, now, CLASSES[cls][3],
-                    lambda _, final: finals.update((type(final).__name__,)))
+        call = Call(
+            f"{at:016x}",
+            cls,
+            0,
+            b"",
+            None,
+            at % 40,
+            now,
+            CLASSES[cls][3],
+            lambda _, final: finals.update((type(final).__name__,)),
+        )
         owner.take(Asked(call))
         while engines.out:
             owner.take(Ended(engines.out.pop(), api.Outcome.OK, None, 0.2, 1.0))
@@ -130,8 +182,12 @@
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / "config.json"
         path.write_text(json.dumps(config(gateways, engines)))
-        told = subprocess.run([sys.executable, "-m", "benchmarks.sizes", "--child", str(path)], check=True,
-                              stdout=subprocess.PIPE, env=os.environ)
+        told = subprocess.run(
+            [sys.executable, "-m", "benchmarks.sizes", "--child", str(path)],
+            check=True,
+            stdout=subprocess.PIPE,
+            env=os.environ,
+        )
     return json.loads(told.stdout)
 
 
@@ -144,13 +200,18 @@
     if options.child:
         print(json.dumps(child(options.child)))
         return 0
-    print("| front ends x engines | start | one change | whole list | request | memory, base | peak"
-          " | after 200 lists |\n" + "| --- " * 8 + "|")
+    print(
+        "| front ends x engines | start | one change | whole list | request | memory, base | peak"
+        " | after 200 lists |\n" + "| --- " * 8 + "|"
+    )
     for size in options.sizes:
         f = measure(size)
-        print(f"| {size} | {f['start'] * 1e3:.1f} ms | {f['change'] * 1e3:.2f} ms | {f['whole'] * 1e3:.1f} ms"
-              f" | {f['request after'] * 1e6:.0f} us | {f['base']:.1f} MB | {f['peak']:.1f} MB"
-              f" | {f['peak after 200']:.1f} MB |", flush=True)
+        print(
+            f"| {size} | {f['start'] * 1e3:.1f} ms | {f['change'] * 1e3:.2f} ms | {f['whole'] * 1e3:.1f} ms"
+            f" | {f['request after'] * 1e6:.0f} us | {f['base']:.1f} MB | {f['peak']:.1f} MB"
+            f" | {f['peak after 200']:.1f} MB |",
+            flush=True,
+        )
     return 0
 
 
--- a/benchmarks/sources.py
+++ b/benchmarks/sources.py
@@ -3,6 +3,7 @@
 How long a change at the name server takes to the engine, what a change costs as the list grows, memory an
 engine, questions a minute at 1,000 targets, and a minute without answers. Prints Markdown tables.
 """
+
 from __future__ import annotations
 
 import argparse
@@ -42,8 +43,11 @@
 def sources_of(server: NameServer, rules: Rules = Rules(), **more) -> config.Sources:  # noqa: B008
     """One SRV source at a stand-in."""
     resolver = config.ResolverSpec("main", (server.address,), more.pop("patience", Patience()), Lifetimes())
-    return config.Sources((config.SourceSpec("records", "srv", Spec("records", False, 0.5), "main", SERVICE,
-                                             **more),), (resolver,), rules)
+    return config.Sources(
+        (config.SourceSpec("records", "srv", Spec("records", False, 0.5), "main", SERVICE, **more),),
+        (resolver,),
+        rules,
+    )
 
 
 def announce(server: NameServer, engines: list) -> None:
@@ -62,6 +66,7 @@
 
 # ---- from the name server to the engine ---------------------------------------------------------------
 
+
 def changes(rounds: int) -> Iterator[tuple[str, str]]:
     """An engine is announced and withdrawn in turns, with records that live 1 s, under requests all along."""
     # what is announced again and again here is not held out
@@ -97,10 +102,16 @@
 
 # ---- what a change costs ------------------------------------------------------------------------------
 
+
 def engine(at: int, state: api.EngineState = LIVE) -> Member:
     """One of many."""
-    return Member(f"h{at}.example:1433", (f"10.{at >> 16 & 255}.{at >> 8 & 255}.{at & 255}", 1433), state,
-                  priority=at % 2, weight=float(1 + at % 7))
+    return Member(
+        f"h{at}.example:1433",
+        (f"10.{at >> 16 & 255}.{at >> 8 & 255}.{at & 255}", 1433),
+        state,
+        priority=at % 2,
+        weight=float(1 + at % 7),
+    )
 
 
 def merges(sizes: tuple[int, ...], rounds: int) -> Iterator[tuple[str, ...]]:
@@ -113,8 +124,13 @@
         merged.take()
         single, whole, module = [], [], []
         fleet = Fleet((8,), ())
-        fleet.apply(api.ListUpdate(api.ListMode.CHANGES, tuple(
-            api.EngineEntry(m.engine, m.state, 0, 0, 0, 0.0, m.priority, m.weight) for m in rows)), now)
+        fleet.apply(
+            api.ListUpdate(
+                api.ListMode.CHANGES,
+                tuple(api.EngineEntry(m.engine, m.state, 0, 0, 0, 0.0, m.priority, m.weight) for m in rows),
+            ),
+            now,
+        )
         gc.collect()
         gc.disable()
         for _ in range(rounds):
@@ -125,8 +141,12 @@
             merged.take()
             single.append(time.perf_counter() - began)
             began = time.perf_counter()
-            fleet.apply(api.ListUpdate(api.ListMode.CHANGES, (
-                api.EngineEntry(rows[at].engine, DRAINING, 0, 0, 0, 0.0, 0, 1.0),)), now)
+            fleet.apply(
+                api.ListUpdate(
+                    api.ListMode.CHANGES, (api.EngineEntry(rows[at].engine, DRAINING, 0, 0, 0, 0.0, 0, 1.0),)
+                ),
+                now,
+            )
             module.append(time.perf_counter() - began)
             rows[at] = engine(at, DRAINING) if rows[at].state is LIVE else engine(at)
             began = time.perf_counter()
@@ -147,8 +167,12 @@
     gc.collect()
     held = tracemalloc.get_traced_memory()[0]
     fleet = Fleet((8,), ())
-    fleet.apply(api.ListUpdate(api.ListMode.CHANGES, tuple(
-        api.EngineEntry(f"h{at}.example:1433", LIVE) for at in range(size))), 0.0)
+    fleet.apply(
+        api.ListUpdate(
+            api.ListMode.CHANGES, tuple(api.EngineEntry(f"h{at}.example:1433", LIVE) for at in range(size))
+        ),
+        0.0,
+    )
     gc.collect()
     both = tracemalloc.get_traced_memory()[0]
     tracemalloc.stop()
@@ -158,24 +182,28 @@
 
 # ---- questions, and a silent minute -------------------------------------------------------------------
 
+
 def questions(targets: int, ttl: int, minutes: float) -> Iterator[tuple[str, str]]:
     """Three front ends follow an SRV name with many targets."""
     hub = Hub()
     server = NameServer(hub)
-    server.srv(SERVICE, *((0, 1, 1433, f"h{at}.bench.example.", f"127.{at >> 8}.{at & 255}.1")
-                          for at in range(targets)), ttl=ttl)
+    server.srv(
+        SERVICE,
+        *((0, 1, 1433, f"h{at}.bench.example.", f"127.{at >> 8}.{at & 255}.1") for at in range(targets)),
+        ttl=ttl,
+    )
     heard: list[int] = [0, 0, 0]
 
     def post(me: int) -> Callable[[object], None]:
         def count(news) -> None:
             heard[me] += len(getattr(news, "members", ()))
+
         return count
 
     def scene() -> None:
         began = time.monotonic()
         for me in range(3):
-            Gathering(hub, sources_of(server, patience=Patience(2.0, 8.0), family="ipv4"), ("std",),
-                      post(me))
+            Gathering(hub, sources_of(server, patience=Patience(2.0, 8.0), family="ipv4"), ("std",), post(me))
         while min(heard) < targets:
             hub.sleep(0.05)
         found.append(time.monotonic() - began)
@@ -191,8 +219,10 @@
     play(hub, scene)
     floor = 3 * (targets + 1) * 60 / ttl
     yield f"all {targets:,} engines known to 3 front ends after", f"{found[0]:.2f} s"
-    yield f"questions a minute, records that live {ttl} s", (
-        f"{found[1]:,.0f} ({found[1] / floor:.2f} times one a life, {floor:,.0f})")
+    yield (
+        f"questions a minute, records that live {ttl} s",
+        (f"{found[1]:,.0f} ({found[1] / floor:.2f} times one a life, {floor:,.0f})"),
+    )
     yield "most in one second", f"{found[3]:,.0f}"
     yield "CPU a minute, name server and 3 front ends", f"{found[2]:.1f} s"
 
@@ -222,8 +252,16 @@
         found.append(f"{time.monotonic() - began:.1f} s")
 
     play(world.hub, scene)
-    yield from zip((f"requests in {seconds:.0f} s without an answer", "fewest engines listed meanwhile",
-                    "questions put meanwhile", "a new engine known after its end"), found, strict=True)
+    yield from zip(
+        (
+            f"requests in {seconds:.0f} s without an answer",
+            "fewest engines listed meanwhile",
+            "questions put meanwhile",
+            "a new engine known after its end",
+        ),
+        found,
+        strict=True,
+    )
 
 
 def main() -> None:
@@ -234,9 +272,13 @@
     parser.add_argument("--minutes", type=float, default=1.0, help="how long questions are counted")
     parser.add_argument("--silent", type=float, default=60.0, help="seconds without an answer")
     args = parser.parse_args()
-    lines = ["# Sources of engines, measured", "",
-             f"By `python -m benchmarks.sources`, Python {platform.python_version()}, one core of a shared "
-             "machine; medians, with the least and the most.", ""]
+    lines = [
+        "# Sources of engines, measured",
+        "",
+        f"By `python -m benchmarks.sources`, Python {platform.python_version()}, one core of a shared "
+        "machine; medians, with the least and the most.",
+        "",
+    ]
 
     def table(title: str, heads: tuple[str, ...], rows: Iterator[tuple[str, ...]]) -> None:
         lines.extend([f"## {title}", "", "| " + " | ".join(heads) + " |", "|" + " --- |" * len(heads)])
@@ -244,8 +286,11 @@
         lines.append("")
         print("\n".join(lines[-20:]), flush=True)
 
-    table("What one change costs", ("engines", "merge of one change", "a whole list, one different",
-                                    "the module's list"), merges((10, 100, 1000, 10000), 50))
+    table(
+        "What one change costs",
+        ("engines", "merge of one change", "a whole list, one different", "the module's list"),
+        merges((10, 100, 1000, 10000), 50),
+    )
     table("Memory", ("what", "size"), memory(10000))
     table("From the name server to the engine, records that live 1 s", ("what", "time"), changes(args.rounds))
     table("1,000 targets, 3 front ends", ("what", "found"), questions(1000, 30, args.minutes))
--- a/standins/clients.py
+++ b/standins/clients.py
@@ -1,4 +1,5 @@
 """Stand-ins for clients, Thrift and TDS, on the hub of the program under test."""
+
 from __future__ import annotations
 
 import struct
@@ -32,11 +33,17 @@
 
     def send(self, statement: str, **changed: str | None) -> None:
         self.seqid += 1
-        fields = {"kind": self.cls, "req": f"{id(self) & 0xFFFFFF:08x}{self.seqid:08x}", "owner": "main",
-                  "timeout": str(int(self.timeout * 1000)), "opkey": "ab" * 16} | changed
+        fields = {
+            "kind": self.cls,
+            "req": f"{id(self) & 0xFFFFFF:08x}{self.seqid:08x}",
+            "owner": "main",
+            "timeout": str(int(self.timeout * 1000)),
+            "opkey": "ab" * 16,
+        } | changed
         fields = {k: v for k, v in fields.items() if v is not None}
-        body = (thrift.field(thrift.MAP, 1, thrift.text_map(fields))
-                + thrift.field(thrift.STRING, 2, thrift.blob(statement.encode())))
+        body = thrift.field(thrift.MAP, 1, thrift.text_map(fields)) + thrift.field(
+            thrift.STRING, 2, thrift.blob(statement.encode())
+        )
         self.conn.write(thrift.frame(thrift.CALL, "serve", self.seqid, body), time.monotonic() + 5)
 
     def read(self, within: float) -> Reply:
@@ -55,8 +62,12 @@
         return self.read(within)
 
     def cancel(self) -> None:
-        self.conn.write(thrift.frame(thrift.ONEWAY, "forget", 0, thrift.field(
-            thrift.I32, 1, struct.pack(">i", self.seqid))), time.monotonic() + 5)
+        self.conn.write(
+            thrift.frame(
+                thrift.ONEWAY, "forget", 0, thrift.field(thrift.I32, 1, struct.pack(">i", self.seqid))
+            ),
+            time.monotonic() + 5,
+        )
 
     def close(self) -> None:
         self.conn.close()
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -25,6 +25,7 @@
 and later dead, at each observer by itself; who can be reached again is alive, with a higher incarnation if it
 was started again.
 """
+
 from __future__ import annotations
 
 import heapq
@@ -62,9 +63,16 @@
 class Cluster:
     """The world. `now` is its own time in seconds, which no part gets to see."""
 
-    def __init__(self, seed: int, names: Iterable[str], make: Callable[[str, random.Random], Sequence[Part]],
-                 places: Mapping[str, Place] | None = None, checks: Sequence[Callable[[Cluster], None]] = (),
-                 link: Link = CALM, garbage: float = 0.0) -> None:
+    def __init__(
+        self,
+        seed: int,
+        names: Iterable[str],
+        make: Callable[[str, random.Random], Sequence[Part]],
+        places: Mapping[str, Place] | None = None,
+        checks: Sequence[Callable[[Cluster], None]] = (),
+        link: Link = CALM,
+        garbage: float = 0.0,
+    ) -> None:
         self.seed, self.now, self.make, self.checks = seed, 0.0, make, list(checks)
         self.net = Weather(seed, link)
         self.garbage = garbage  # share of messages of which a mangled copy comes too
@@ -155,7 +163,7 @@
         elif disk == "damaged":
             for records in proc.kept.values():
                 for key in records:
-                    records[key] = records[key][:len(records[key]) // 2]
+                    records[key] = records[key][: len(records[key]) // 2]
         proc.up, proc.paused, proc.refused, proc.place = True, False, None, place or proc.place
         self._arrive(proc)
         proc.parts = tuple(self.make(name, random.Random(f"{self.seed}/{name}/{proc.life}")))
@@ -336,7 +344,7 @@
         for delay in delays:
             self._at(delay, post.to, self._message, other, part, sender, post.body)
         if delays and self.garbage and self._rng.random() < self.garbage:
-            cut = post.body[:self._rng.randrange(len(post.body))] if post.body else b"\xc1"
+            cut = post.body[: self._rng.randrange(len(post.body))] if post.body else b"\xc1"
             self._at(delays[0], post.to, self._message, other, part, sender, cut)
 
     def _message(self, proc: Proc, part: str, sender: Member, body: bytes) -> None:
--- a/standins/failingcalls.py
+++ b/standins/failingcalls.py
@@ -6,6 +6,7 @@
 its page of the manual that passes by itself; reads and writes may also be short. Errors that end a connection
 are not among them.
 """
+
 from __future__ import annotations
 
 import errno
@@ -16,8 +17,18 @@
 import sys
 from typing import Any
 
-ACCEPT = (errno.ECONNABORTED, errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EPROTO,
-          errno.EPERM, errno.ENETDOWN, errno.EHOSTUNREACH, errno.EINTR)
+ACCEPT = (
+    errno.ECONNABORTED,
+    errno.EMFILE,
+    errno.ENFILE,
+    errno.ENOBUFS,
+    errno.ENOMEM,
+    errno.EPROTO,
+    errno.EPERM,
+    errno.ENETDOWN,
+    errno.EHOSTUNREACH,
+    errno.EINTR,
+)
 SOCKET = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 CONNECT = (errno.EADDRNOTAVAIL, errno.EAGAIN, errno.ENETUNREACH, errno.ETIMEDOUT)
 RECEIVE = (errno.ENOMEM, errno.EINTR)
--- a/standins/farm.py
+++ b/standins/farm.py
@@ -4,6 +4,7 @@
 read or write, and beyond KNEE threads a core work is lost. Engines can be lost without a word, come back
 cold, be slow, or fail; a zone can be cut off.
 """
+
 from __future__ import annotations
 
 import heapq
@@ -60,8 +61,16 @@
 class Farm:
     """Gateways, engines and clients. `weight[me]` is a gateway's part of the arrivals against the mean."""
 
-    def __init__(self, settings: api.Settings, engines: int, zones: int, work: tuple[float, ...],
-                 mix: tuple[float, ...], seed: int, latest: float = 1.0) -> None:
+    def __init__(
+        self,
+        settings: api.Settings,
+        engines: int,
+        zones: int,
+        work: tuple[float, ...],
+        mix: tuple[float, ...],
+        seed: int,
+        latest: float = 1.0,
+    ) -> None:
         self.set, self.random, self.now = settings, random.Random(seed), 0.0
         self.work, self.mix, self.zones = work, mix, zones
         self.latest = latest  # seconds by which a list reaches the last gateway
@@ -87,7 +96,7 @@
 
     def born(self, me: int) -> Gateway:
         """A gateway that knows nothing but the list as it is told now."""
-        gateway = Gateway(replace(self.set, me=me), self.random.randrange(2 ** 31), self.now)
+        gateway = Gateway(replace(self.set, me=me), self.random.randrange(2**31), self.now)
         told = ListUpdate(ListMode.REMEMBERED, tuple(e.entry for e in self.engines.values()))
         gateway.handle(self.now, told)
         return gateway
@@ -186,8 +195,12 @@
         self.asked[name] = (cls, work, self.now, min(aim, spec.patience))
         self.came[cls] += self.now < self.until
         self.at_one[gateway.set.me, "came"] += self.now < self.until
-        self._carry(gateway, gateway.handle(self.now, api.Request(
-            name, cls, spec.patience, data_set=self.random.randrange(40))))
+        self._carry(
+            gateway,
+            gateway.handle(
+                self.now, api.Request(name, cls, spec.patience, data_set=self.random.randrange(40))
+            ),
+        )
         self.at(self.now + spec.patience, self._overdue, gateway, name)
 
     def _overdue(self, gateway: Gateway, name: str) -> None:
@@ -224,9 +237,22 @@
         self.served[cls] += in_time
         self.at_one[gateway.set.me, "served"] += in_time
         self.ends[cls, outcome.value] += 1
-        self._carry(gateway, gateway.handle(self.now, api.AttemptEnded(
-            work.request, work.number, name, outcome, self.now - work.sent_at, good,
-            work.whole if good else None, 1.0 if good else None)))
+        self._carry(
+            gateway,
+            gateway.handle(
+                self.now,
+                api.AttemptEnded(
+                    work.request,
+                    work.number,
+                    name,
+                    outcome,
+                    self.now - work.sent_at,
+                    good,
+                    work.whole if good else None,
+                    1.0 if good else None,
+                ),
+            ),
+        )
 
     # ---- between gateways and engines ----------------------------------------------------------------
 
@@ -253,8 +279,16 @@
     def _send(self, gateway: Gateway, request: str, name: str, timeout: float, within: float) -> None:
         engine, (cls, whole, _, _) = self.engines[name], self.asked[request]
         number = len(gateway.queries[request].attempts) - 1
-        work = Work(gateway, request, number, whole, whole, self.set.classes[cls].threads, self.now,
-                    self.random.random() < engine.errors)
+        work = Work(
+            gateway,
+            request,
+            number,
+            whole,
+            whole,
+            self.set.classes[cls].threads,
+            self.now,
+            self.random.random() < engine.errors,
+        )
         new = self.late and self.now > self.kept.get((gateway, name), 0.0)
         if not self.reaches(gateway, engine):
             self.at(self.now + UNREACHED, self._end, work, name, Outcome.CONNECT_FAILED)
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -4,6 +4,7 @@
 and the world on a virtual clock (`cluster`) share it. Each link and each concern has random numbers of its
 own, so a change to the loss of one link changes nothing of the delays there, nor anything on other links.
 """
+
 from __future__ import annotations
 
 import random
@@ -161,8 +162,9 @@
 KINDS = ("crash", "restart", "pause", "part", "cut", "weather", "leave", "disk", "misjudge", "trip")
 
 
-def schedule(seed: int, names: Sequence[str], seconds: float, kinds: Sequence[str] = KINDS,
-             gap: float = 2.0) -> list[tuple]:
+def schedule(
+    seed: int, names: Sequence[str], seconds: float, kinds: Sequence[str] = KINDS, gap: float = 2.0
+) -> list[tuple]:
     """Faults at random times, `gap` seconds apart on average, for `play`; at 0.7 of the time all are over."""
     rng, at, end, script = random.Random(f"{seed}/schedule"), 0.0, 0.7 * seconds, []
     while (at := at + rng.expovariate(1 / gap)) < end:
@@ -181,8 +183,13 @@
         elif kind == "cut" and name != other:
             script += [(at, "net.cut", name, other), (at + long, "net.heal")]
         elif kind == "weather":
-            link = Link(rng.choice((0.1, 0.3)), repeat=rng.choice((0.0, 0.3)), reorder=rng.choice((0.0, 0.3)),
-                        delay_ms=rng.choice((5, 300)), jitter_ms=rng.choice((5, 500)))
+            link = Link(
+                rng.choice((0.1, 0.3)),
+                repeat=rng.choice((0.0, 0.3)),
+                reorder=rng.choice((0.0, 0.3)),
+                delay_ms=rng.choice((5, 300)),
+                jitter_ms=rng.choice((5, 500)),
+            )
             script += [(at, "net.link", name, "*", link), (at + long, "net.link", name, "*", CALM)]
         elif kind == "disk":
             script += [(at, "disk", name, "full"), (at + long, "disk", name, "ok")]
@@ -190,6 +197,8 @@
             wrong = rng.choice((State.DEAD, State.SUSPECT, State.ALIVE))
             script.append((at, "misjudge", name, other, wrong, long))
         elif kind == "trip":
-            script += [(at, "trip", name, rng.randrange(4), rng.choice(("crash", "pause")), long),
-                       (at + long, "start", name)]
+            script += [
+                (at, "trip", name, rng.randrange(4), rng.choice(("crash", "pause")), long),
+                (at + long, "start", name),
+            ]
     return [*script, (end, "calm")]
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -15,6 +15,7 @@
 which is all that the others know of it. Waits are for conditions; what does not come to pass raises with the
 end of each log. All that was started is ended, by its process id, however the block ends.
 """
+
 from __future__ import annotations
 
 import random
@@ -68,8 +69,12 @@
         self.write()
         self.lives.append(self.log.stat().st_size)
         with self.log.open("ab") as log:
-            self.running = subprocess.Popen([sys.executable, *self.command, str(self.file)], stdout=log,
-                                            stderr=log, stdin=subprocess.DEVNULL)
+            self.running = subprocess.Popen(
+                [sys.executable, *self.command, str(self.file)],
+                stdout=log,
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+            )
 
     def write(self) -> None:
         """Its configuration to its file."""
@@ -123,8 +128,7 @@
         """What one of its lives has logged; the last by default."""
         data = self.log.read_bytes()
         ends = [*self.lives[1:], len(data)]
-        return data[self.lives[life]:ends[life]].decode(errors="replace") if self.lives else ""
-
+        return data[self.lives[life] : ends[life]].decode(errors="replace") if self.lives else ""
 
     def said(self, life: int = -1) -> list[tuple[str, int, str]]:
         """All that it has said of others, in order: name, incarnation and state."""
@@ -173,17 +177,34 @@
         new.rename(path)
         return path
 
-    def add(self, label: str, name: str = "", place: str = "", command: tuple[str, ...] = BARE,
-            config: dict[str, Any] | None = None, **fleet: Any) -> Process:
+    def add(
+        self,
+        label: str,
+        name: str = "",
+        place: str = "",
+        command: tuple[str, ...] = BARE,
+        config: dict[str, Any] | None = None,
+        **fleet: Any,
+    ) -> Process:
         """A process to be started later. `name` differs from the label where two have one; `config` goes
         beside [fleet], `fleet` into it."""
         process = Process(self, label, len(self.processes) + 1, command)
         self.processes[label] = process
         seeds = [show(p.door) for p in list(self)[:3]]
-        process.config = {**(config or {}), "fleet": {
-            "enabled": True, "name": name or label, "place": place, "seeds": seeds,
-            "key_file": str(self.key), "state": str(process.folder / "state"),
-            "listen": show((process.host, process.port)), "advertise": show(process.door), **fleet}}
+        process.config = {
+            **(config or {}),
+            "fleet": {
+                "enabled": True,
+                "name": name or label,
+                "place": place,
+                "seeds": seeds,
+                "key_file": str(self.key),
+                "state": str(process.folder / "state"),
+                "listen": show((process.host, process.port)),
+                "advertise": show(process.door),
+                **fleet,
+            },
+        }
         return process
 
     def sidecar(self, label: str, engines: Iterable[Address], **fleet: Any) -> Process:
@@ -192,7 +213,8 @@
         process.config["listen"] = show(process.front)
         process.config["source"][0]["engine"] = [
             {"name": f"engine-{n}", "address": show(address), "kind": "eight-core", "state": "live"}
-            for n, address in enumerate(engines, 1)]
+            for n, address in enumerate(engines, 1)
+        ]
         return process
 
     def start(self, *labels: str) -> None:
--- a/standins/groups.py
+++ b/standins/groups.py
@@ -1,5 +1,6 @@
 """Table groups in many processes on a virtual clock: a stand-in authority that keeps its promises, owners,
 checkers."""
+
 from __future__ import annotations
 
 import random
@@ -62,8 +63,11 @@
             split, old = read(body, Split), self.splits.get(key)
             step = old.step if old else 0
             switched = any(s.split == key for s in self.shapes.values())
-            legal = step == split.step or split.step == step + 1 or (
-                split.step == Step.DROPPED and step <= Step.WARMING)
+            legal = (
+                step == split.step
+                or split.step == step + 1
+                or (split.step == Step.DROPPED and step <= Step.WARMING)
+            )
             assert legal, f"{key} from {step} to {split.step}"
             assert switched or split.step not in (Step.SWITCHED, Step.DONE), f"{key} is not in the map"
             assert not (switched and split.step == Step.DROPPED), f"{key} is dropped after it was switched"
@@ -92,8 +96,11 @@
         return ledger.epoch if ledger.holder == (self.me, life) and self._at() < ledger.until else None
 
     def settled(self, now):
-        return self.coordinating(now) is not None and self._at() > self.taken + 1 and (
-            self.given == len(self.ledger.log))
+        return (
+            self.coordinating(now) is not None
+            and self._at() > self.taken + 1
+            and (self.given == len(self.ledger.log))
+        )
 
     def epoch(self):
         return self.ledger.epoch
@@ -112,7 +119,7 @@
         if self.me in self.voters and len(near) * 2 > len(self.voters):
             if ledger.holder != (self.me, me.life) and self._at() > ledger.until + 0.5:
                 ledger.holder, self.taken = (self.me, me.life), self._at()
-                for _, kind, key, body in ledger.waiting[:ledger.rng.randrange(len(ledger.waiting) + 1)]:
+                for _, kind, key, body in ledger.waiting[: ledger.rng.randrange(len(ledger.waiting) + 1)]:
                     ledger.append(kind, key, body)
                 ledger.waiting.clear()
                 ledger.epoch += 1
@@ -125,7 +132,7 @@
                     return []
         if len(near) * 2 <= len(self.voters):
             return []
-        new, self.given = ledger.log[self.given:], len(ledger.log)
+        new, self.given = ledger.log[self.given :], len(ledger.log)
         last = {(r.kind, r.key): r.number for r in new}
         late = ledger.rng.random() < 0.5  # is told only the latest of each key
         return [Inform(r) for r in new if not late or last[r.kind, r.key] == r.number]
@@ -172,20 +179,29 @@
 class Scene:
     """A world with groups, and its checks. `kind` and `splits_kind` take the place of the real classes."""
 
-    def __init__(self, seed: int, count: int, kind: type[Groups] = Groups, authority: Callable | None = None,
-                 **more) -> None:
+    def __init__(
+        self, seed: int, count: int, kind: type[Groups] = Groups, authority: Callable | None = None, **more
+    ) -> None:
         names = [f"p{n:02}" for n in range(count)]
-        self.voters = names[:min(count, 5)]
+        self.voters = names[: min(count, 5)]
         self.authority = authority  # from voters and a generator, in place of the fake
         self.groups = {17: 1.5, 18: 1.5, 19: 3.0}
         self.storm = self.outage = False
         self.kind, self.written, self.sent, self.ended = kind, {}, [], {}
         self.ledger = Ledger(random.Random(f"{seed}/ledger"), 2)
         self.rules = GroupRules(
-            tuple(self.voters), ScheduleRules(1e9, notice=1, window=3), tell=2.0, store=4.0,
-            sizes={g: s * 1e9 for g, s in self.groups.items()}, telling=TellRules(1.0, 8),
-            counts=CountRules(), splits=SplitRules(notice=1.0, warm=2.0, spread=4.0, window=3, rest=20.0,
-                                                   forget=3600.0, again=2.0, fresh=3.0), **more)
+            tuple(self.voters),
+            ScheduleRules(1e9, notice=1, window=3),
+            tell=2.0,
+            store=4.0,
+            sizes={g: s * 1e9 for g, s in self.groups.items()},
+            telling=TellRules(1.0, 8),
+            counts=CountRules(),
+            splits=SplitRules(
+                notice=1.0, warm=2.0, spread=4.0, window=3, rest=20.0, forget=3600.0, again=2.0, fresh=3.0
+            ),
+            **more,
+        )
         self.worlds: list[Cluster] = []
         self.seen: dict[str, int] = {}
         self.warmed: set[tuple[str, int, str]] = set()
@@ -209,13 +225,13 @@
     def check(self, world: Cluster) -> None:
         """What changed in any process since the last step. A real authority's log is taken from its facts."""
         for proc in world.running if self.authority else ():
-            for _, _, fact in proc.facts[self.seen.get(proc.name, 0):]:
+            for _, _, fact in proc.facts[self.seen.get(proc.name, 0) :]:
                 if isinstance(fact, Agreed) and fact.number == len(self.ledger.log) + 1:
                     self.ledger.epoch = fact.epoch
                     self.ledger.append(fact.kind, fact.key, fact.body)
         for proc in world.running:
             if len(proc.facts) != self.seen.get(proc.name, 0) or world.steps % 50 == 0:
-                self.look(proc, proc.facts[self.seen.get(proc.name, 0):])
+                self.look(proc, proc.facts[self.seen.get(proc.name, 0) :])
                 self.seen[proc.name] = len(proc.facts)
 
     def look(self, proc, facts) -> None:
@@ -240,9 +256,14 @@
     def finish(self, within: float = 600.0) -> None:
         """Play until all that is due is done everywhere, and check it."""
         self.storm = self.outage = False
-        self.world.until(lambda: all(s.step.over for s in self.ledger.splits.values()) and len({
-            g.splits.map.version for g in self.all()}) == 1 and sum(
-            s.parts for s in self.ledger.shapes.values()) == 8, within)
+        self.world.until(
+            lambda: (
+                all(s.step.over for s in self.ledger.splits.values())
+                and len({g.splits.map.version for g in self.all()}) == 1
+                and sum(s.parts for s in self.ledger.shapes.values()) == 8
+            ),
+            within,
+        )
         self.whole()
 
     def whole(self) -> None:
--- a/standins/links.py
+++ b/standins/links.py
@@ -15,6 +15,7 @@
 A cut either way stops a stream, which goes on when it is healed, as TCP would. The relay is steered by lines
 on one connection and ends with it, so that it never outlives who started it.
 """
+
 from __future__ import annotations
 
 import heapq
--- a/standins/lockstep.py
+++ b/standins/lockstep.py
@@ -3,6 +3,7 @@
 Plain blocking sockets in a process of their own. What is to reach the program together is written while the
 program is stopped (SIGSTOP), so that one look brings all of it, in the same order each time.
 """
+
 from __future__ import annotations
 
 import os
@@ -127,6 +128,7 @@
 
 # ---- HTTP engines -------------------------------------------------------------------------------------
 
+
 def http_split(held: bytes) -> int:
     """The size of the first HTTP request, 0 where it is not whole."""
     at = held.find(b"\r\n\r\n")
@@ -135,7 +137,7 @@
     head = held[:at].lower()
     length = 0
     if (found := head.find(b"content-length:")) >= 0:
-        length = int(head[found + 15:].split(b"\r\n")[0])
+        length = int(head[found + 15 :].split(b"\r\n")[0])
     return at + 4 + length if len(held) >= at + 4 + length else 0
 
 
@@ -146,8 +148,9 @@
 
 def first_page(body: bytes, pages: int = 1) -> bytes:
     """A good end."""
-    return http_answer(body, f"X-Batches: {pages}\r\nX-Spent: 120\r\nX-Wanted: 8\r\n"
-                             "X-Meter: inflight:1;util:0.1\r\n")
+    return http_answer(
+        body, f"X-Batches: {pages}\r\nX-Spent: 120\r\nX-Wanted: 8\r\nX-Meter: inflight:1;util:0.1\r\n"
+    )
 
 
 def probe_answer(request: bytes) -> bytes | None:
@@ -169,10 +172,16 @@
     def call(self, kind: str, statement: str, timeout: int = 20000) -> bytes:
         """The next call as bytes."""
         self.number += 1
-        fields = {"kind": kind, "req": f"{self.serial & 0xFFFF:04x}{self.number:012x}", "owner": "main",
-                  "timeout": str(timeout), "opkey": "ab" * 16}
-        body = (thrift.field(thrift.MAP, 1, thrift.text_map(fields))
-                + thrift.field(thrift.STRING, 2, thrift.blob(statement.encode())))
+        fields = {
+            "kind": kind,
+            "req": f"{self.serial & 0xFFFF:04x}{self.number:012x}",
+            "owner": "main",
+            "timeout": str(timeout),
+            "opkey": "ab" * 16,
+        }
+        body = thrift.field(thrift.MAP, 1, thrift.text_map(fields)) + thrift.field(
+            thrift.STRING, 2, thrift.blob(statement.encode())
+        )
         return thrift.frame(thrift.CALL, "serve", self.number, body)
 
     def reply(self) -> thrift.Message:
@@ -182,11 +191,12 @@
 
 # ---- TDS engines --------------------------------------------------------------------------------------
 
+
 def tds_split(held: bytes) -> int:
     """The size of the first TDS message, 0 where it is not whole."""
     at = 0
     while len(held) >= at + 8:
-        size = int.from_bytes(held[at + 2:at + 4], "big")
+        size = int.from_bytes(held[at + 2 : at + 4], "big")
         if len(held) < at + size:
             return 0
         at += size
@@ -199,8 +209,8 @@
     """What the packets of a message hold."""
     at, parts = 0, []
     while at < len(message):
-        size = int.from_bytes(message[at + 2:at + 4], "big")
-        parts.append(message[at + 8:at + size])
+        size = int.from_bytes(message[at + 2 : at + 4], "big")
+        parts.append(message[at + 8 : at + size])
         at += size
     return b"".join(parts)
 
--- a/standins/nameserver.py
+++ b/standins/nameserver.py
@@ -2,6 +2,7 @@
 
 Messages are encoded by dnspython, so that the program's own parser is checked against another's.
 """
+
 from __future__ import annotations
 
 import socket
@@ -115,8 +116,11 @@
                 reply.set_rcode(dns.rcode.NXDOMAIN)
             if self.soa is not None:
                 apex, ttl, minimum = self.soa
-                reply.authority.append(dns.rrset.from_text(
-                    apex, ttl, "IN", "SOA", f"ns.{apex} host.{apex} 1 3600 600 86400 {minimum}"))
+                reply.authority.append(
+                    dns.rrset.from_text(
+                        apex, ttl, "IN", "SOA", f"ns.{apex} host.{apex} 1 3600 600 86400 {minimum}"
+                    )
+                )
         for owner, ttl, kind, data in self.more:
             reply.answer.append(dns.rrset.from_text(owner, ttl, "IN", kind, data))
             reply.additional.append(dns.rrset.from_text(owner, ttl, "IN", kind, data))
@@ -124,8 +128,12 @@
 
     def _heard(self, data: bytes, stream: bool) -> tuple[dns.message.Message, Act]:
         query = dns.message.from_wire(data)
-        asked = Asked(time.monotonic(), query.question[0].name.to_text(),
-                      dns.rdatatype.to_text(query.question[0].rdtype), stream)
+        asked = Asked(
+            time.monotonic(),
+            query.question[0].name.to_text(),
+            dns.rdatatype.to_text(query.question[0].rdtype),
+            stream,
+        )
         self.asked.append(asked)
         return query, self.act(asked)
 
--- a/standins/peered.py
+++ b/standins/peered.py
@@ -5,6 +5,7 @@
 Datagrams go through the weather one by one. A whole exchange happens at one moment, and breaks off where the
 link does. `proc.peers` is a process's machine.
 """
+
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping, Sequence
--- a/standins/peersim.py
+++ b/standins/peersim.py
@@ -9,6 +9,7 @@
 Datagrams take `delay`, are lost by `loss`, and cross no cut. Whole exchanges take place at once where
 nothing is cut. A paused process finds what its socket would have kept, then goes on.
 """
+
 from __future__ import annotations
 
 import heapq
@@ -30,9 +31,17 @@
 class PeerSim:
     """A fleet; `now` is its clock, which all processes share. `make` builds each machine."""
 
-    def __init__(self, seed: int, size: int, loss: float = 0.0, delay: float = 0.0005,
-                 pace: Pace | None = None, make: Callable[..., Peers] = Peers, seeds: int = 2,
-                 together: float = 1.0) -> None:
+    def __init__(
+        self,
+        seed: int,
+        size: int,
+        loss: float = 0.0,
+        delay: float = 0.0005,
+        pace: Pace | None = None,
+        make: Callable[..., Peers] = Peers,
+        seeds: int = 2,
+        together: float = 1.0,
+    ) -> None:
         self.rng = random.Random(f"{seed}/sim")
         self.seed, self.now, self.loss, self.delay = seed, 100.0, loss, delay
         self.pace, self.make, self.keys = pace or Pace(), make, Keys("sim", [KEY])
@@ -190,8 +199,12 @@
 
     def _exchange(self, caller: str, called: str, life: bytes) -> None:
         mine, theirs = self.nodes[caller], self.nodes.get(called)
-        if (theirs is None or called in self.paused or self.apart(caller, called)
-                or {caller, called} & self.deaf):
+        if (
+            theirs is None
+            or called in self.paused
+            or self.apart(caller, called)
+            or {caller, called} & self.deaf
+        ):
             mine.sync_failed(self.now)
             return
         nonce = self.rng.randbytes
@@ -221,14 +234,22 @@
     def all_alive(self, *names: str) -> bool:
         """Each of them (or of all) takes each of them for alive, in its present life."""
         who = names or tuple(self.nodes)
-        return all((m := self.nodes[a].table.members.get(self.nodes[b].table.me.name)) is not None
-                   and m.state is State.ALIVE and m.incarnation == self.nodes[b].table.me.incarnation
-                   for a in who for b in who)
+        return all(
+            (m := self.nodes[a].table.members.get(self.nodes[b].table.me.name)) is not None
+            and m.state is State.ALIVE
+            and m.incarnation == self.nodes[b].table.me.incarnation
+            for a in who
+            for b in who
+        )
 
     def deaths(self, since: float = 0.0) -> list[tuple[float, str, str]]:
         """(time, observer, whom it took for dead)."""
-        return [(at, label, event.name) for label, calls in self.calls.items() for at, event in calls
-                if at >= since and isinstance(event, Member) and event.state is State.DEAD]
+        return [
+            (at, label, event.name)
+            for label, calls in self.calls.items()
+            for at, event in calls
+            if at >= since and isinstance(event, Member) and event.state is State.DEAD
+        ]
 
     def troubles(self, label: str) -> list[Renamed]:
         """What one had to do with its name."""
--- a/standins/proc.py
+++ b/standins/proc.py
@@ -1,4 +1,5 @@
 """One process on the virtual clock of `cluster`: what it knows, and the view that its parts have."""
+
 from __future__ import annotations
 
 import random
@@ -61,8 +62,11 @@
 
     def entries(self, topic: str) -> Iterable[Entry]:
         """See View."""
-        return [entry for origin, entry in self.told.get(topic, {}).items()
-                if entry.value and origin in self.known and self.known[origin].there]
+        return [
+            entry
+            for origin, entry in self.told.get(topic, {}).items()
+            if entry.value and origin in self.known and self.known[origin].there
+        ]
 
     # ---- what it knows --------------------------------------------------------------------------------
 
--- a/standins/purging.py
+++ b/standins/purging.py
@@ -5,6 +5,7 @@
 may serve an answer that is older than what the counter was when the purge began: `Truth.check` looks at all
 that could be served. The authority is one that keeps its promises by looking at the whole world.
 """
+
 from __future__ import annotations
 
 import random
@@ -49,8 +50,10 @@
     def majority(self, name: str) -> bool:
         """Whether a process reaches more than half of the voters."""
         net, procs = self.world.net, self.world.procs
-        reached = sum(v == name or procs[v].up and not procs[v].paused and net.open(name, v)
-                      and net.open(v, name) for v in self.voters)
+        reached = sum(
+            v == name or procs[v].up and not procs[v].paused and net.open(name, v) and net.open(v, name)
+            for v in self.voters
+        )
         return 2 * reached > len(self.voters)
 
 
@@ -73,8 +76,11 @@
 
     def settled(self, now: float) -> bool:
         court = self.court
-        return (self.coordinating(now) is not None and court.world.now >= court.settles
-                and self.last == len(court.log))
+        return (
+            self.coordinating(now) is not None
+            and court.world.now >= court.settles
+            and self.last == len(court.log)
+        )
 
     def epoch(self) -> int:
         return self.court.epoch
@@ -102,9 +108,9 @@
         if not near or court.holder != self.me and self.rng.random() < 0.7:
             return []
         latest = {record.key: record.number for record in court.log}
-        told = [record for record in court.log[self.last:] if latest[record.key] == record.number]
+        told = [record for record in court.log[self.last :] if latest[record.key] == record.number]
         if court.holder != self.me:
-            told = told[:self.rng.randint(1, 3)]
+            told = told[: self.rng.randint(1, 3)]
         self.last = told[-1].number if told else len(court.log)
         return [Inform(record) for record in told]
 
@@ -166,7 +172,8 @@
         """A kept answer goes to a client."""
         self.served += 1
         assert value >= self.needed[group], (
-            f"{name} serves {value} of group {group}: a purge after {self.needed[group]} is complete")
+            f"{name} serves {value} of group {group}: a purge after {self.needed[group]} is complete"
+        )
 
     def check(self, world: Cluster) -> None:
         """No process could serve, at this moment, what is older than promised."""
@@ -192,7 +199,8 @@
                     group, value = answer.result.rows >> 32, answer.result.rows & 0xFFFFFFFF
                     assert value >= self.needed[group], (
                         f"{proc.name} may serve {value} of group {group}: a purge after "
-                        f"{self.needed[group]} is complete")
+                        f"{self.needed[group]} is complete"
+                    )
 
 
 class Requests(Quiet):
@@ -200,8 +208,15 @@
 
     name, topics, period = "requests", (), 0.1
 
-    def __init__(self, truth: Truth, purges: Purges, rng: random.Random, rate: float, loads: float,
-                 front: type[Kept] = Kept) -> None:
+    def __init__(
+        self,
+        truth: Truth,
+        purges: Purges,
+        rng: random.Random,
+        rate: float,
+        loads: float,
+        front: type[Kept] = Kept,
+    ) -> None:
         self.truth, self.purges, self.rng, self.rate, self.loads = truth, purges, rng, rate, loads
         policy = Policy({LOOKUP: Rule("lookup", 30.0)}, frozenset({LOAD}), joins=4, wait=1.0)
         self.news: list = []
@@ -221,8 +236,11 @@
             self.ask(now, self.rng.choice(self.truth.groups), LOAD)
         news, self.news[:] = list(self.news), []
         if news:
-            self.world.do(self.proc.name, lambda proc: [
-                effect for item in news for effect in self.purges.load(proc.clock(), item)], "purges")
+            self.world.do(
+                self.proc.name,
+                lambda proc: [effect for item in news for effect in self.purges.load(proc.clock(), item)],
+                "purges",
+            )
         return []
 
     def ask(self, now: float, group: int, cls: int) -> None:
@@ -263,20 +281,31 @@
                 self.truth.ended.append((self.proc.name, self.proc.life, group, self.truth.at(group, world)))
 
 
-
 def places(names: Sequence[str], sites: int, buildings: int) -> dict[str, Place]:
     """Names dealt out over sites and buildings."""
     return {name: Place(f"s{at % sites}", f"b{at // sites % buildings}") for at, name in enumerate(names)}
 
 
-def build(seed: int, size: int, *, sites: int = 3, buildings: int = 2, groups: int = 4, rate: float = 1.0,
-          loads: float = 0.02, link: Link = NEAR, garbage: float = 0.0,
-          part: type[Purges] = Purges, store: type[Store] = Store, front: type[Kept] = Kept,
-          waits: float = longest(LEASE)) -> tuple[Cluster, Truth]:
+def build(
+    seed: int,
+    size: int,
+    *,
+    sites: int = 3,
+    buildings: int = 2,
+    groups: int = 4,
+    rate: float = 1.0,
+    loads: float = 0.02,
+    link: Link = NEAR,
+    garbage: float = 0.0,
+    part: type[Purges] = Purges,
+    store: type[Store] = Store,
+    front: type[Kept] = Kept,
+    waits: float = longest(LEASE),
+) -> tuple[Cluster, Truth]:
     """A fleet of so many processes that keep answers, under the checker. The classes may be planted
     defects."""
     names = [f"m{at:04}" for at in range(size)]
-    court, truth = Court(names[:5 if size >= 5 else 3], waits), Truth(groups)
+    court, truth = Court(names[: 5 if size >= 5 else 3], waits), Truth(groups)
 
     def make(name: str, rng: random.Random) -> list:
         authority = FakeAuthority(court, rng)
--- a/standins/scene.py
+++ b/standins/scene.py
@@ -1,4 +1,5 @@
 """A scene played as a task of a hub: what a test or a benchmark does among the stand-ins."""
+
 from __future__ import annotations
 
 from collections.abc import Callable
--- a/standins/steppedclock.py
+++ b/standins/steppedclock.py
@@ -5,6 +5,7 @@
 FILE holds one double, the seconds by which the wall clock is off; whoever writes it steps the clock at once.
 Only this process sees it, and the monotonic clocks run on, as where an administrator or NTP steps the time.
 """
+
 from __future__ import annotations
 
 import mmap
--- a/standins/world.py
+++ b/standins/world.py
@@ -1,4 +1,5 @@
 """Stand-ins for clients and engines, Thrift and HTTP or TDS, in one process with the program under test."""
+
 from __future__ import annotations
 
 import time
@@ -25,10 +26,20 @@
     api.QueryClass(aim=1.0, patience=5.0, effect=api.Effect.SAFE),
     api.QueryClass(aim=1.0, patience=5.0, effect=api.Effect.KEYED, dedup_window=15.0, worth=8),
     api.QueryClass(aim=1.0, patience=5.0, effect=api.Effect.UNSAFE, worth=8),
-    api.QueryClass(aim=3.0, patience=20.0, effect=api.Effect.SAFE, worth=8, threads=2))
-SETTINGS = api.Settings(classes=SPECS, cores_by_kind=(8,), most_attempts=4, may_cancel=True, may_probe=True,
-                        start_capacity=0.31, cold_for=12.0, fall_multiple=2.5, fall_window=1.5,
-                        report_fields=("util",))
+    api.QueryClass(aim=3.0, patience=20.0, effect=api.Effect.SAFE, worth=8, threads=2),
+)
+SETTINGS = api.Settings(
+    classes=SPECS,
+    cores_by_kind=(8,),
+    most_attempts=4,
+    may_cancel=True,
+    may_probe=True,
+    start_capacity=0.31,
+    cold_for=12.0,
+    fall_multiple=2.5,
+    fall_window=1.5,
+    report_fields=("util",),
+)
 ROWS = [("1", "sheets", "ok"), ("2", "towels", "o'k")]
 
 
@@ -186,8 +197,10 @@
             if act.after > 1 and act.end == "ok" and out:  # a long answer streams back
                 number += 1
                 piece, out = out[:700], out[700:]
-                conn.write(tds.HEAD.pack(tds.REPLY, 0, 8 + len(piece), 0, number & 255, 0) + piece,
-                           time.monotonic() + 5)
+                conn.write(
+                    tds.HEAD.pack(tds.REPLY, 0, 8 + len(piece), 0, number & 255, 0) + piece,
+                    time.monotonic() + 5,
+                )
             try:
                 conn.fill(time.monotonic() + 0.02)
             except TimedOut:
@@ -213,36 +226,69 @@
 class World:
     """The program and its stand-ins in one hub; `run` plays a test as a task of it."""
 
-    def __init__(self, protocol: str, engines: int = 2, settings: api.Settings = SETTINGS,
-                 listed: bool = True, hub: Hub | None = None, host: str = "127.0.0.1") -> None:
+    def __init__(
+        self,
+        protocol: str,
+        engines: int = 2,
+        settings: api.Settings = SETTINGS,
+        listed: bool = True,
+        hub: Hub | None = None,
+        host: str = "127.0.0.1",
+    ) -> None:
         self.protocol, self.logged = protocol, []
         self.hub = hub or Hub(self.logged.append)
         self.hub.lag = lambda: 0.0  # a stall of the machine must not refuse what a test asks
-        self.engines = [(HttpEngine if protocol == "thrift" else TdsEngine)(
-            self.hub, f"s-{i:08x}", host)
-                        for i in range(engines)]
+        self.engines = [
+            (HttpEngine if protocol == "thrift" else TdsEngine)(self.hub, f"s-{i:08x}", host)
+            for i in range(engines)
+        ]
         for engine in self.engines:
             engine.others = self.engines
         if protocol == "thrift":
-            self.node = Node(self.hub, settings, 1, 1024, 30, 0.25,
-                             lambda pools, post: HttpEngines(self.hub, pools, settings, CLASSES, post))
-            service = thrift_front.Service(self.hub, CLASSES, [c.effect is api.Effect.KEYED for c in SPECS],
-                                           ["main"], self.node.post, lambda: self.node.owner.well)
+            self.node = Node(
+                self.hub,
+                settings,
+                1,
+                1024,
+                30,
+                0.25,
+                lambda pools, post: HttpEngines(self.hub, pools, settings, CLASSES, post),
+            )
+            service = thrift_front.Service(
+                self.hub,
+                CLASSES,
+                [c.effect is api.Effect.KEYED for c in SPECS],
+                ["main"],
+                self.node.post,
+                lambda: self.node.owner.well,
+            )
         else:
-            self.node = Node(self.hub, settings, 1, 1024, 30, 0.25,
-                             lambda pools, post: TdsEngines(self.hub, pools, post, 1 << 20),
-                             logging_in("aspenrill", "aspenrill"))
-            maps = [tds_front.Mapping(cls if t == 5 else f"{cls}-{t:g}", "*", i, 0,
-                                      t if t != 5 else spec.patience, "batch")
-                    for i, (cls, spec) in enumerate(zip(CLASSES, SPECS, strict=True)) for t in (5, 0.5, 1)]
+            self.node = Node(
+                self.hub,
+                settings,
+                1,
+                1024,
+                30,
+                0.25,
+                lambda pools, post: TdsEngines(self.hub, pools, post, 1 << 20),
+                logging_in("aspenrill", "aspenrill"),
+            )
+            maps = [
+                tds_front.Mapping(
+                    cls if t == 5 else f"{cls}-{t:g}", "*", i, 0, t if t != 5 else spec.patience, "batch"
+                )
+                for i, (cls, spec) in enumerate(zip(CLASSES, SPECS, strict=True))
+                for t in (5, 0.5, 1)
+            ]
             service = tds_front.Service(self.hub, maps, self.node.post, "test")
         self.address = self.node.listen(("127.0.0.1", 0), service, protocol).address
         self.number = 0
         if listed:
             self.tell([self.member(e) for e in self.engines], whole=True)
 
-    def member(self, engine: Engine, state: api.EngineState = api.EngineState.LIVE,
-               started: float = 0.0) -> Member:
+    def member(
+        self, engine: Engine, state: api.EngineState = api.EngineState.LIVE, started: float = 0.0
+    ) -> Member:
         return Member(engine.name, engine.listener.address, state, started=started)
 
     def tell(self, members: list[Member], whole: bool = False) -> None:
--- a/tests/authority_defects.py
+++ b/tests/authority_defects.py
@@ -1,4 +1,5 @@
 """Planted defects: each takes away one of the things that the promises rest on."""
+
 from __future__ import annotations
 
 from aspenrill.fleet.authority import AuthorityPart
@@ -70,9 +71,18 @@
         return self.end() > float("-inf")
 
 
-ALL = [AnswersBeforeTheDisk, ForgetsItsPromise, WaitsForNothingAfterRestart, VotesWithoutItsDisk,
-       EndsItsGrantsEarly, ChecksNoEpoch, CountsFromReceipt, AgreesByAMinority, ReadsNoMajority,
-       KeepsItsLease]
+ALL = [
+    AnswersBeforeTheDisk,
+    ForgetsItsPromise,
+    WaitsForNothingAfterRestart,
+    VotesWithoutItsDisk,
+    EndsItsGrantsEarly,
+    ChecksNoEpoch,
+    CountsFromReceipt,
+    AgreesByAMinority,
+    ReadsNoMajority,
+    KeepsItsLease,
+]
 
 
 def plant(monkeypatch, defect):
--- a/tests/authority_model.py
+++ b/tests/authority_model.py
@@ -9,6 +9,7 @@
 the model's. Simpler than the part: nobody sounds out first, a grant brings the voter's log along, and the
 lease is one tick.
 """
+
 from __future__ import annotations
 
 import random
@@ -69,9 +70,16 @@
         elif isinstance(thing, part_module.Voter):
             key = (thing.promise, thing.until, thing.released, tuple(sorted(thing.tail.items())))
         else:
-            key = (thing.epoch, thing.life, thing.won_at, tuple(sorted(thing.ends.items())),
-                   tuple(sorted(thing.whole)), tuple(sorted(thing.acked.items())),
-                   tuple(sorted(thing.best.items())), tuple(thing.sent.items()))
+            key = (
+                thing.epoch,
+                thing.life,
+                thing.won_at,
+                tuple(sorted(thing.ends.items())),
+                tuple(sorted(thing.whole)),
+                tuple(sorted(thing.acked.items())),
+                tuple(sorted(thing.best.items())),
+                tuple(thing.sent.items()),
+            )
         return self.known.setdefault(key, thing)
 
     def bit(self, post: tuple) -> int:
@@ -82,7 +90,7 @@
 
 
 def put(items: tuple, index: int, item) -> tuple:
-    return items[:index] + (item,) + items[index + 1:]
+    return items[:index] + (item,) + items[index + 1 :]
 
 
 def clone(thing):
@@ -106,8 +114,18 @@
 
     def start(self) -> World:
         disk = self.pool.one(Disk({PROMISE: encode(Promise())}))
-        return World(0, (self.begin(disk, 0),) * 3, (disk,) * 3, (1,) * 3, (None,) * 2, (False,) * 2,
-                     (False,) * 2, 0, (), 0)
+        return World(
+            0,
+            (self.begin(disk, 0),) * 3,
+            (disk,) * 3,
+            (1,) * 3,
+            (None,) * 2,
+            (False,) * 2,
+            (False,) * 2,
+            0,
+            (),
+            0,
+        )
 
     def begin(self, disk, now):
         voter = part_module.Voter(RULES, EMPTY, float(now))
@@ -117,9 +135,12 @@
     def crash(self, world: World, index: int) -> World:
         tenures = put(world.tenures, index, None) if index < len(STANDING) else world.tenures
         voter = self.begin(world.disks[index], world.now)
-        return world._replace(voters=put(world.voters, index, voter), tenures=tenures,
-                              lives=put(world.lives, index, world.lives[index] + 1), crashes=world.crashes +
-                              1)
+        return world._replace(
+            voters=put(world.voters, index, voter),
+            tenures=tenures,
+            lives=put(world.lives, index, world.lives[index] + 1),
+            crashes=world.crashes + 1,
+        )
 
     def carry(self, world: World, index: int, effects: list) -> list[World]:
         """After all of the effects; and after a crash behind each number of them."""
--- a/tests/authority_world.py
+++ b/tests/authority_world.py
@@ -1,4 +1,5 @@
 """A world of authority parts with the promises checked after every step."""
+
 from __future__ import annotations
 
 import random
@@ -12,8 +13,9 @@
     """`kind` is the part's class, so that planted defects can take its place. Keeps the ledger of all that
     any process was ever told."""
 
-    def __init__(self, seed: int, size: int, voters: int, kind=AuthorityPart, rules: dict | None = None,
-                 **more) -> None:
+    def __init__(
+        self, seed: int, size: int, voters: int, kind=AuthorityPart, rules: dict | None = None, **more
+    ) -> None:
         self.rules = Rules(tuple(f"p{i}" for i in range(voters)), **(rules or {}))
         self.ledger: dict[int, Agreed] = {}
         self.told: dict[tuple[str, int], int] = {}  # by process and life: the last number
@@ -37,8 +39,11 @@
             self.agreed_at.setdefault(record.number, self.now)
 
     def check(self) -> None:
-        acting = [(proc.name, epoch) for proc in self.running
-                  if (epoch := proc.parts[0].coordinating(proc.clock())) is not None]
+        acting = [
+            (proc.name, epoch)
+            for proc in self.running
+            if (epoch := proc.parts[0].coordinating(proc.clock())) is not None
+        ]
         assert len(acting) <= 1, f"two coordinate: {acting}"
         for name, epoch in acting:
             assert self.terms.setdefault(epoch, name) == name, f"epoch {epoch} is used twice"
@@ -55,8 +60,9 @@
 
     def ready(self) -> bool:
         """Settled, and every voter may vote."""
-        return self.settled() and all(proc.parts[0].voter is None or proc.parts[0].voter.promise is not None
-                                      for proc in self.running)
+        return self.settled() and all(
+            proc.parts[0].voter is None or proc.parts[0].voter.promise is not None for proc in self.running
+        )
 
     def propose(self, key: str, body: bytes = b"x", kind: str = "k") -> bool:
         proc = self.coordinator()
@@ -76,6 +82,7 @@
             self.propose(f"key{rng.randrange(keys)}", b"x" * rng.choice((1, 100, 570)))
             if self.now < end:
                 self._at(every * rng.uniform(0.5, 1.5), "", one)
+
         self._at(every, "", one)
 
     def same(self) -> bool:
@@ -84,6 +91,11 @@
         for record in sorted(self.ledger.values(), key=lambda record: record.number):
             latest[record.kind, record.key] = record.number
         last = max(self.ledger, default=0)
-        return all(proc.parts[0].table.last >= last and
-                   all((pair in proc.parts[0].table.latest and proc.parts[0].table.latest[pair].number >=
-                   number) for pair, number in latest.items()) for proc in self.running)
+        return all(
+            proc.parts[0].table.last >= last
+            and all(
+                (pair in proc.parts[0].table.latest and proc.parts[0].table.latest[pair].number >= number)
+                for pair, number in latest.items()
+            )
+            for proc in self.running
+        )
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,7 @@
 
 A run fails if a listed test passes, is skipped, or does not run though the run asked for it.
 """
+
 from __future__ import annotations
 
 import known_red
@@ -48,8 +49,11 @@
     def pytest_sessionfinish(self, session: pytest.Session) -> None:
         """Under xdist only the process that sees all reports judges."""
         faults = any(self.end(test).startswith("FAULT") for test in self.listed)
-        if faults and not hasattr(self.config, "workerinput") and session.exitstatus in (
-                pytest.ExitCode.OK, pytest.ExitCode.NO_TESTS_COLLECTED):
+        if (
+            faults
+            and not hasattr(self.config, "workerinput")
+            and session.exitstatus in (pytest.ExitCode.OK, pytest.ExitCode.NO_TESTS_COLLECTED)
+        ):
             session.exitstatus = pytest.ExitCode.TESTS_FAILED
 
     def pytest_terminal_summary(self, terminalreporter: pytest.TerminalReporter) -> None:
--- a/tests/frontend.py
+++ b/tests/frontend.py
@@ -1,4 +1,5 @@
 """A front end as a process of its own, started through a stand-in; its engines, bulletin and clients."""
+
 from __future__ import annotations
 
 import json
@@ -37,19 +38,44 @@
 
     def start(self, settings: dict, born_ms: Sequence[int | None] = (0, 0)) -> None:
         """With a list of the engines that are born by then."""
-        hosts = [{"host": engine.name, "dial": f"127.0.0.1:{engine.listener.address[1]}", "site": "z",
-                  "class": "k", "block": 0, "health": "in_service", "share": 4, "born_ms": born}
-                 for engine, born in zip(self.engines, born_ms, strict=True) if born is not None]
+        hosts = [
+            {
+                "host": engine.name,
+                "dial": f"127.0.0.1:{engine.listener.address[1]}",
+                "site": "z",
+                "class": "k",
+                "block": 0,
+                "health": "in_service",
+                "share": 4,
+                "born_ms": born,
+            }
+            for engine, born in zip(self.engines, born_ms, strict=True)
+            if born is not None
+        ]
         self.feed.events.append((1, wire.NOTHING, b""))
         path = self.folder / "node.json"
-        path.write_text(json.dumps({
-            "name": "n", "listen": "{}:{}".format(*self.place.getsockname()), "seed": "1",
-            "limits": {"sockets": 64}, "bulletin": "{}:{}".format(*self.feed.listener.address),
-            "known": {"no": 1, "items": [{"no": 1, "roster": {"seq": 1, "whole": True, "hosts": hosts}}]},
-            "settings": settings}))
+        path.write_text(
+            json.dumps(
+                {
+                    "name": "n",
+                    "listen": "{}:{}".format(*self.place.getsockname()),
+                    "seed": "1",
+                    "limits": {"sockets": 64},
+                    "bulletin": "{}:{}".format(*self.feed.listener.address),
+                    "known": {
+                        "no": 1,
+                        "items": [{"no": 1, "roster": {"seq": 1, "whole": True, "hosts": hosts}}],
+                    },
+                    "settings": settings,
+                }
+            )
+        )
         with open(self.folder / "log", "wb") as log:
-            self.process = subprocess.Popen([sys.executable, *self.launcher, "aspenrill"], stderr=log,
-                                            env=os.environ | {"NODE_CONFIG": str(path)})
+            self.process = subprocess.Popen(
+                [sys.executable, *self.launcher, "aspenrill"],
+                stderr=log,
+                env=os.environ | {"NODE_CONFIG": str(path)},
+            )
 
     def client(self, cls: str) -> ThriftClient:
         """A connection to it, as soon as it is up."""
@@ -66,8 +92,23 @@
 
     def tell(self, engine: HttpEngine, born_ms: int) -> None:
         """One more engine, by the bulletin."""
-        self.feed.events.append((len(self.feed.events) + 1, wire.CHANGES, wire.RECORD.pack(
-            int(engine.name[2:], 16), b"\x7f\0\0\1", engine.listener.address[1], 0, 0, 0, 0, 1000, born_ms)))
+        self.feed.events.append(
+            (
+                len(self.feed.events) + 1,
+                wire.CHANGES,
+                wire.RECORD.pack(
+                    int(engine.name[2:], 16),
+                    b"\x7f\0\0\1",
+                    engine.listener.address[1],
+                    0,
+                    0,
+                    0,
+                    0,
+                    1000,
+                    born_ms,
+                ),
+            )
+        )
 
     def begins(self, statement: str) -> list[float]:
         """When it began anywhere."""
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -1,4 +1,5 @@
 """Gateways for tests of the module alone: small ones, thin ones of many, and what they say."""
+
 from __future__ import annotations
 
 from aspenrill import api
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -3,6 +3,7 @@
 The test is written as pytest names it (`tests/test_x.py::test_y[case]`). Empty lines and lines that begin
 with # don't count. conftest.py acts on the list.
 """
+
 from __future__ import annotations
 
 from collections.abc import Iterable
--- a/tests/lookups.py
+++ b/tests/lookups.py
@@ -1,4 +1,5 @@
 """Look-ups played on a virtual clock: `drive` runs one against a world of answers."""
+
 from __future__ import annotations
 
 import random
--- a/tests/membership_world.py
+++ b/tests/membership_world.py
@@ -1,4 +1,5 @@
 """A membership on a clock of the tests' own, and the owner's list as what it was told makes it."""
+
 from __future__ import annotations
 
 from aspenrill.api import EngineState
--- a/tests/merged.py
+++ b/tests/merged.py
@@ -1,4 +1,5 @@
 """A world whose engines come from sources, for tests of what is merged."""
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -23,16 +24,26 @@
 class Merged:
     """A world whose engines come from sources: a bulletin that the test speaks for, and a name server."""
 
-    def __init__(self, protocol: str, engines: int = 2, types: str = "bulletin srv", host: str = "127.0.0.1",
-                 settings: api.Settings = SETTINGS, rules: Rules = RULES) -> None:
+    def __init__(
+        self,
+        protocol: str,
+        engines: int = 2,
+        types: str = "bulletin srv",
+        host: str = "127.0.0.1",
+        settings: api.Settings = SETTINGS,
+        rules: Rules = RULES,
+    ) -> None:
         self.world = World(protocol, engines, settings, listed=False, host=host)
         self.hub, self.engines = self.world.hub, self.world.engines
         self.server = NameServer(self.hub)
-        self.resolver = config.ResolverSpec("main", (self.server.address,), Patience(0.2, 0.5),
-                                            Lifetimes(least=0.1, early=(0.5, 0.6)))
-        rows = {"bulletin": ROSTER,
-                "srv": config.SourceSpec("records", "srv", Spec("records", False, 0.5), "main", SERVICE),
-                "dns-sd": config.SourceSpec("instances", "dns-sd", Spec("instances", True, 0.5), "main", SD)}
+        self.resolver = config.ResolverSpec(
+            "main", (self.server.address,), Patience(0.2, 0.5), Lifetimes(least=0.1, early=(0.5, 0.6))
+        )
+        rows = {
+            "bulletin": ROSTER,
+            "srv": config.SourceSpec("records", "srv", Spec("records", False, 0.5), "main", SERVICE),
+            "dns-sd": config.SourceSpec("instances", "dns-sd", Spec("instances", True, 0.5), "main", SD),
+        }
         self.sources = config.Sources(tuple(rows[name] for name in types.split()), (self.resolver,), rules)
         self.gathering: Gathering | None = None
 
@@ -43,8 +54,20 @@
         (self.gathering.roster.told if whole else self.gathering.roster.changed)("roster", rows)
 
     def srv(self, *engines, ttl: int = 1, **more) -> None:
-        self.server.srv(SERVICE, *((more.get("priority", 0), more.get("weight", 1), e.listener.address[1],
-                                    f"{e.name}.example.", e.listener.address[0]) for e in engines), ttl=ttl)
+        self.server.srv(
+            SERVICE,
+            *(
+                (
+                    more.get("priority", 0),
+                    more.get("weight", 1),
+                    e.listener.address[1],
+                    f"{e.name}.example.",
+                    e.listener.address[0],
+                )
+                for e in engines
+            ),
+            ttl=ttl,
+        )
 
     def instance(self, name: str, engine, *texts: str) -> None:
         self.server.put(f"{name}.{SD}", "SRV", f"0 0 {engine.listener.address[1]} {engine.name}.example.")
--- a/tests/overload_defects.py
+++ b/tests/overload_defects.py
@@ -1,4 +1,5 @@
 """Planted defects of the ledger: each checker must find them."""
+
 from __future__ import annotations
 
 import math
@@ -16,8 +17,10 @@
 
     def lent(self, now, kind):
         last = now + self.rules.owed - 0.6
-        return sum(max((a[kind] for a, end in owed.grants.values() if now < end <= last), default=0.0)
-                   for owed in self.owed.values())
+        return sum(
+            max((a[kind] for a, end in owed.grants.values() if now < end <= last), default=0.0)
+            for owed in self.owed.values()
+        )
 
 
 class Forgetful(Lender):
@@ -75,8 +78,14 @@
 def made(parts, rules, name, incarnation, now, sole):
     """A ledger with some parts replaced."""
     if "rules" in parts:
-        rules = parts["rules"](rules.count, rules.voters, lease=rules.lease, loan=rules.loan,
-                               margin=rules.margin, beat=rules.beat)
+        rules = parts["rules"](
+            rules.count,
+            rules.voters,
+            lease=rules.lease,
+            loan=rules.loan,
+            margin=rules.margin,
+            beat=rules.beat,
+        )
     ledger = parts.get("ledger", Ledger)(rules, name, incarnation, now, sole)
     for key in ("lender", "borrower", "standing"):
         if key in parts:
--- a/tests/overload_small.py
+++ b/tests/overload_small.py
@@ -5,6 +5,7 @@
 happens: a loan asked for or handed back, a process killed and started anew. The sum is checked five times
 in each round.
 """
+
 from __future__ import annotations
 
 import pickle
@@ -50,8 +51,11 @@
         return answers
 
     def tick(self) -> list:
-        return [(ledger.name, ledger.incarnation, to, message) for ledger in self.ledgers.values()
-                for to, message in ledger.tick(self.time)]
+        return [
+            (ledger.name, ledger.incarnation, to, message)
+            for ledger in self.ledgers.values()
+            for to, message in ledger.tick(self.time)
+        ]
 
     def round(self, cuts, late: bool, op: str) -> None:
         start = self.time
@@ -62,8 +66,10 @@
             self.ledgers[who] = self.started(who, ledger.incarnation + 1)
         elif ledger is not None:
             amount = 1.0 if op.endswith("borrows") else 0.0
-            letters = [(who, ledger.incarnation, to, message)
-                       for to, message in ledger.ask(self.time, "p1", (amount, 0.0), 1.0)]
+            letters = [
+                (who, ledger.incarnation, to, message)
+                for to, message in ledger.ask(self.time, "p1", (amount, 0.0), 1.0)
+            ]
         answers = self.pass_on(letters + self.tick(), cuts)
         self.time = start + 0.2
         before, self.late = self.late, []
@@ -90,18 +96,46 @@
         for ledger in self.ledgers.values():
             standing, old = ledger.standing, now - rules.lease
             voter = ledger.voter
-            out.append((
-                ledger.incarnation, ledger.over, standing.number, ledger.borrower.number,
-                tuple(sorted((v, at) for v, at in standing.acked.items() if at > old)),
-                tuple(sorted((n, v, at) for n, told in standing.certs.items()
-                             for v, at in told.items() if at > old)),
-                tuple((who, owed.number, tuple((n, a, e) for n, (a, e) in owed.grants.items() if e > now))
-                      for who, owed in ledger.lender.owed.items()),
-                tuple((n, h.number, h.answered, h.have, h.amounts, h.end)
-                      for n, h in ledger.borrower.held.items() if max(h.end, h.sent_at + rules.loan) > now),
-                max(now, voter.mute_until),
-                tuple(sorted((n, r.incarnation, r.granted, max(now, r.held_until), max(now, r.doubted_until),
-                              max(now - rules.silence, r.heard_at)) for n, r in voter.records.items()))))
+            out.append(
+                (
+                    ledger.incarnation,
+                    ledger.over,
+                    standing.number,
+                    ledger.borrower.number,
+                    tuple(sorted((v, at) for v, at in standing.acked.items() if at > old)),
+                    tuple(
+                        sorted(
+                            (n, v, at)
+                            for n, told in standing.certs.items()
+                            for v, at in told.items()
+                            if at > old
+                        )
+                    ),
+                    tuple(
+                        (who, owed.number, tuple((n, a, e) for n, (a, e) in owed.grants.items() if e > now))
+                        for who, owed in ledger.lender.owed.items()
+                    ),
+                    tuple(
+                        (n, h.number, h.answered, h.have, h.amounts, h.end)
+                        for n, h in ledger.borrower.held.items()
+                        if max(h.end, h.sent_at + rules.loan) > now
+                    ),
+                    max(now, voter.mute_until),
+                    tuple(
+                        sorted(
+                            (
+                                n,
+                                r.incarnation,
+                                r.granted,
+                                max(now, r.held_until),
+                                max(now, r.doubted_until),
+                                max(now - rules.silence, r.heard_at),
+                            )
+                            for n, r in voter.records.items()
+                        )
+                    ),
+                )
+            )
         return tuple(out)
 
 
@@ -132,6 +166,7 @@
     """`PYTHONPATH=. python tests/overload_small.py DEPTH`: a deeper search than the tests', with its
     counts."""
     import sys
+
     counts = [search(depth=int(sys.argv[1]), start=start) for start in STARTS]
     states, transitions = map(sum, zip(*counts, strict=True))
     print(f"{states} states, {transitions} transitions, no sum above the whole")
--- a/tests/overload_world.py
+++ b/tests/overload_world.py
@@ -1,5 +1,6 @@
 """Ledgers of a few processes on a world of the tests' own: clocks that drift, a network that does its
 worst."""
+
 from __future__ import annotations
 
 import random
@@ -29,7 +30,7 @@
     def __init__(self, count: int, seed: int, make: Callable[..., Ledger] = Ledger, **rules) -> None:
         self.random, self.time = random.Random(seed), 0.0
         self.names = tuple(f"p{i}" for i in range(count))
-        self.rules = Rules(count, rules.pop("voters", self.names[:3 if count < 5 else 5]), **rules)
+        self.rules = Rules(count, rules.pop("voters", self.names[: 3 if count < 5 else 5]), **rules)
         self.make = make
         self.processes: list[Process] = []  # all that exist: fenced and paused ones too
         self.net: list[tuple[float, str, str, int, bytes]] = []
@@ -61,8 +62,15 @@
         for to, message in out:
             for _ in range(1 + (self.random.random() < self.repeat)):
                 if self.random.random() >= self.loss and frozenset((process.ledger.name, to)) not in self.cut:
-                    self.net.append((self.time + self.random.uniform(*self.delay), process.ledger.name, to,
-                                     process.ledger.incarnation, pack(message)))
+                    self.net.append(
+                        (
+                            self.time + self.random.uniform(*self.delay),
+                            process.ledger.name,
+                            to,
+                            process.ledger.incarnation,
+                            pack(message),
+                        )
+                    )
 
     def run(self, seconds: float, step: float = 0.25, check: bool = True) -> None:
         end = self.time + seconds
@@ -105,6 +113,10 @@
         """Promise 1: all that exist together, paused or fenced or cut off, may start no more than the
         whole."""
         for kind in range(len(KINDS)):
-            assert self.total(kind) <= 1 + EPSILON, (self.time, [
-                (p.ledger.name, p.ledger.incarnation, p.paused, p.ledger.pieces(p.now, kind))
-                for p in self.processes])
+            assert self.total(kind) <= 1 + EPSILON, (
+                self.time,
+                [
+                    (p.ledger.name, p.ledger.incarnation, p.paused, p.ledger.pieces(p.now, kind))
+                    for p in self.processes
+                ],
+            )
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -1,4 +1,5 @@
 """An engine that answers from a script, and attempts at it."""
+
 from __future__ import annotations
 
 import time
@@ -75,8 +76,10 @@
 
     def end(self, attempt: Attempt) -> Ended:
         """Its end, once told, and no other."""
+
         def mine() -> list[Ended]:
             return [end for end in self.posted if isinstance(end, Ended) and end.attempt is attempt]
+
         self.until(mine)
         self.until(lambda: attempt.task.dead)
         assert len(mine()) == 1
--- a/tests/silentfront.py
+++ b/tests/silentfront.py
@@ -1,4 +1,5 @@
 """An owner whose engines only note what is started, and what its clients were answered."""
+
 from __future__ import annotations
 
 import time
@@ -25,8 +26,10 @@
     def retire(self, peer) -> None: ...
 
 
-SPECS = (api.QueryClass(aim=1.0, patience=9.0, effect=api.Effect.SAFE, worth=2.0),
-         api.QueryClass(aim=1.0, patience=9.0, effect=api.Effect.SAFE, is_load=True))
+SPECS = (
+    api.QueryClass(aim=1.0, patience=9.0, effect=api.Effect.SAFE, worth=2.0),
+    api.QueryClass(aim=1.0, patience=9.0, effect=api.Effect.SAFE, is_load=True),
+)
 
 
 class Front:
@@ -35,13 +38,23 @@
     def __init__(self) -> None:
         self.hub, self.engines = Hub(print), Engines()
         self.owner = Owner(self.hub, api.Settings(classes=SPECS, cores_by_kind=(8,)), 1, self.engines)
-        self.owner.take(News(1, True, tuple(
-            Member(name, ("127.0.0.1", 1), api.EngineState.LIVE) for name in ("x", "y"))))
+        self.owner.take(
+            News(1, True, tuple(Member(name, ("127.0.0.1", 1), api.EngineState.LIVE) for name in ("x", "y")))
+        )
         self.answers: list[tuple[str, object]] = []
 
     def ask(self, ident: str, statement: bytes = b"select 1 from sales_17.t", cls: int = 0) -> books.Call:
-        call = books.Call(ident, cls, 0, statement, None, 17, time.monotonic(), 9.0,
-                          lambda call, final: self.answers.append((call.id, final)))
+        call = books.Call(
+            ident,
+            cls,
+            0,
+            statement,
+            None,
+            17,
+            time.monotonic(),
+            9.0,
+            lambda call, final: self.answers.append((call.id, final)),
+        )
         self.owner.take(books.Asked(call))
         return call
 
--- a/tests/stubborn.py
+++ b/tests/stubborn.py
@@ -1,4 +1,5 @@
 """A socket whose calls come short or fail as told, and a connection over it."""
+
 from __future__ import annotations
 
 import socket
@@ -24,6 +25,7 @@
                     return self.sock.send(b"".join(args[0])[:act]) if act else 0
                 return self.sock.send(bytes(args[0])[:act])
             return getattr(self.sock, name)(*args)
+
         return call if name in ("recv", "recv_into", "send", "sendmsg") else getattr(self.sock, name)
 
 
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -1,4 +1,5 @@
 """The wire codec: clean ends, and a plain line for what cannot be read."""
+
 from __future__ import annotations
 
 import io
@@ -8,10 +9,18 @@
 
 from aspenrill.adapter import serve
 
-INFO = {"classes": [{"effect": "repeatable", "on_time_ns": 10**9, "give_up_ns": 5 * 10**9, "new": 1}],
-        "kinds": ["k"], "family_info": {"cores_by_kind": [8]}, "unknown": {"x": 1}, "group_size": 2}
-START = ("MARK\t1000000000\t1\nABOUT\tgateway-0\nBORN\t7\t" + json.dumps(INFO)
-         + "\nCENSUS\t0\t1\nM\tlive\t0\t-\t1\t0\t0\tengine.a\nUPDATE\t0\t1\tremembered\nOVER_TO_YOU\n")
+INFO = {
+    "classes": [{"effect": "repeatable", "on_time_ns": 10**9, "give_up_ns": 5 * 10**9, "new": 1}],
+    "kinds": ["k"],
+    "family_info": {"cores_by_kind": [8]},
+    "unknown": {"x": 1},
+    "group_size": 2,
+}
+START = (
+    "MARK\t1000000000\t1\nABOUT\tgateway-0\nBORN\t7\t"
+    + json.dumps(INFO)
+    + "\nCENSUS\t0\t1\nM\tlive\t0\t-\t1\t0\t0\tengine.a\nUPDATE\t0\t1\tremembered\nOVER_TO_YOU\n"
+)
 ITEM = "WORK_ITEM\tr-1\t0\t-\t4000000000\t0\t0\t0\t-\t-\n"
 
 
@@ -26,10 +35,17 @@
     assert "BY\tgateway-0\nTRANSMIT\tr-1\t0\tengine.a\nREMIND\t250000000\tlook\nACK\t2\n" in out
 
 
-@pytest.mark.parametrize("line, told", [
-    ("NONSENSE\t1", "NONSENSE"), ("GONE", "expected 1 values"), (ITEM.replace("4000000000", "soon"), "soon"),
-    ("UPDATE\t9\t1\tall", "CENSUS"), ("VERDICT\tr\t0\te\t777\t1\t0\t-\t-", "777"),
-    ("CENSUS\t0\t3", "3 M lines")])
+@pytest.mark.parametrize(
+    "line, told",
+    [
+        ("NONSENSE\t1", "NONSENSE"),
+        ("GONE", "expected 1 values"),
+        (ITEM.replace("4000000000", "soon"), "soon"),
+        ("UPDATE\t9\t1\tall", "CENSUS"),
+        ("VERDICT\tr\t0\te\t777\t1\t0\t-\t-", "777"),
+        ("CENSUS\t0\t3", "3 M lines"),
+    ],
+)
 def test_what_cannot_be_read_is_told_in_one_line(line, told):
     batch = "MARK\t1000000001\t2\nABOUT\tgateway-0\n" + line.rstrip() + "\nOVER_TO_YOU\n"
     code, out, err = run(START + batch)
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -1,4 +1,5 @@
 """What an attempt's end proves, whatever its engine does: each engine here answers from a script."""
+
 from __future__ import annotations
 
 import socket
@@ -17,8 +18,7 @@
 from standins.world import World
 
 
-@pytest.mark.parametrize("begin_by, outcome", [
-    (True, api.Outcome.MOOT), (False, api.Outcome.CONNECT_FAILED)])
+@pytest.mark.parametrize("begin_by, outcome", [(True, api.Outcome.MOOT), (False, api.Outcome.CONNECT_FAILED)])
 def test_no_connection_is_waited_for_beyond_the_first_byte(monkeypatch, begin_by, outcome):
     # the request stood behind a dial that could be of no use, and its engine was counted as not reached
     script = Script(connect_for=LONG if begin_by else 0.05)
@@ -33,6 +33,7 @@
         changed = {"begin_by": began + 0.05} if begin_by else {}
         assert script.end(script.start(**changed)).outcome is outcome
         assert time.monotonic() - began < LONG / 2 and (script.peer.failed_at > 0) != begin_by
+
     script.play(scene)
 
 
@@ -51,6 +52,7 @@
         assert 0 <= time.monotonic() - attempt.call.deadline
         heard.set()
         script.end(attempt)
+
     script.play(scene)
 
 
@@ -73,22 +75,32 @@
         assert not script.posted
         heard.set()
         assert script.end(attempt).outcome is api.Outcome.CANCELLED
+
     script.play(scene)
 
 
-@pytest.mark.parametrize("answers, outcome, deleted", [
-    ([say(503, SHED)], api.Outcome.FULL, False), ([say(504, SHED)], api.Outcome.MOOT, False),
-    ([say(202), say(503, SHED)], api.Outcome.FULL, False),  # it stood in the engine's line
-    ([say(202, "X-Remark: parked", "X-Num: 1"), say(504, SHED)], api.Outcome.MOOT, False),
-    ([HALF, say(503, SHED)], api.Outcome.ERROR, True), ([HALF, say(504, SHED)], api.Outcome.ERROR, True),
-    ([HALF, say(202), say(503, SHED)], api.Outcome.ERROR, True),
-    ([say(202, "X-Remark: missing", "X-Num: 9"), say(504, SHED)], api.Outcome.ERROR, True),
-    ([say(500)], api.Outcome.ERROR, False), ([say(500, SHED)], api.Outcome.ERROR, False),
-    ([say(503)], api.Outcome.ERROR, True), ([say(504)], api.Outcome.TIMEOUT, True),
-    ([say(503, "X-Shed: 0")], api.Outcome.ERROR, True),
-    ([GONE, OK], api.Outcome.OK, False), ([say(404), OK], api.Outcome.OK, False),
-    ([say(200), OK], api.Outcome.OK, False),
-    ([GONE] * 9, api.Outcome.ERROR, True)])
+@pytest.mark.parametrize(
+    "answers, outcome, deleted",
+    [
+        ([say(503, SHED)], api.Outcome.FULL, False),
+        ([say(504, SHED)], api.Outcome.MOOT, False),
+        ([say(202), say(503, SHED)], api.Outcome.FULL, False),  # it stood in the engine's line
+        ([say(202, "X-Remark: parked", "X-Num: 1"), say(504, SHED)], api.Outcome.MOOT, False),
+        ([HALF, say(503, SHED)], api.Outcome.ERROR, True),
+        ([HALF, say(504, SHED)], api.Outcome.ERROR, True),
+        ([HALF, say(202), say(503, SHED)], api.Outcome.ERROR, True),
+        ([say(202, "X-Remark: missing", "X-Num: 9"), say(504, SHED)], api.Outcome.ERROR, True),
+        ([say(500)], api.Outcome.ERROR, False),
+        ([say(500, SHED)], api.Outcome.ERROR, False),
+        ([say(503)], api.Outcome.ERROR, True),
+        ([say(504)], api.Outcome.TIMEOUT, True),
+        ([say(503, "X-Shed: 0")], api.Outcome.ERROR, True),
+        ([GONE, OK], api.Outcome.OK, False),
+        ([say(404), OK], api.Outcome.OK, False),
+        ([say(200), OK], api.Outcome.OK, False),
+        ([GONE] * 9, api.Outcome.ERROR, True),
+    ],
+)
 def test_what_answers_prove(answers, outcome, deleted):
     # a second answer to another call, or a word for both, was taken for this one's end while it ran
     script = Script(answers)
@@ -97,6 +109,7 @@
         assert script.end(script.start()).outcome is outcome
         assert any(call.startswith("delete") for call in script.calls) == deleted
         assert sum(call.startswith("post") for call in script.calls) == 1
+
     script.play(scene)
 
 
@@ -117,6 +130,7 @@
             far.close()
             if conn is None:
                 script.until(lambda: mine.ended())
+
         if how == "read, then reset":
             script.answers[0] = cut
         else:
@@ -129,6 +143,7 @@
                 else:
                     cut()
                     write(parts, until)
+
             mine.write_parts = crossed
         attempt = script.start("b", cls)
         end = script.end(attempt)
@@ -138,6 +153,7 @@
         else:
             assert not end.outcome.never_ran and posts == 1 + (how == "read, then reset")
             assert "get /data/" + "b" * 16 + "/0" in script.calls
+
     script.answers += [OK] if how == "reset" else []
     script.play(scene)
 
@@ -145,11 +161,17 @@
 FULL = tds.error(10928, "no") + tds.done(tds.BAD)
 
 
-@pytest.mark.parametrize("tokens, outcome", [
-    (FULL, api.Outcome.FULL), (tds.error(8134, "no") + FULL, api.Outcome.ERROR),
-    (tds.done(tds.MORE, 1) + FULL, api.Outcome.ERROR),  # its first statement has run
-    (tds.text_columns(["a"]) + FULL, api.Outcome.ERROR),
-    (tds.done(tds.BAD), api.Outcome.ERROR), (b"\xaa\x01", api.Outcome.ERROR)])
+@pytest.mark.parametrize(
+    "tokens, outcome",
+    [
+        (FULL, api.Outcome.FULL),
+        (tds.error(8134, "no") + FULL, api.Outcome.ERROR),
+        (tds.done(tds.MORE, 1) + FULL, api.Outcome.ERROR),  # its first statement has run
+        (tds.text_columns(["a"]) + FULL, api.Outcome.ERROR),
+        (tds.done(tds.BAD), api.Outcome.ERROR),
+        (b"\xaa\x01", api.Outcome.ERROR),
+    ],
+)
 def test_only_an_error_before_all_else_proves_that_a_batch_was_turned_away(tokens, outcome):
     world, seen = World("tds", 1), []
 
@@ -160,6 +182,7 @@
         engine.batch = lambda conn, statement: engine.say(conn, tokens)
         world.client("once").ask("insert 1; insert 2")
         assert [end.outcome for end in seen if isinstance(end, Ended)][0] is outcome
+
     world.run(scene)
 
 
@@ -186,6 +209,7 @@
                 far.sock.send(rows(b"a"))
                 script.until(lambda: mine.ended() is None)
                 return quiet()
+
             if how == "while idle":
                 far.sock.send(rows(b"a"))
                 script.until(lambda: not mine.open)
@@ -200,6 +224,7 @@
             script.hub.give_way()
         second.append(far.sock.send(rows(b"b")))  # the call is on its way by now, or waits
         assert script.end(third).result.pages == (b"\t\tc\n",)
+
     script.play(scene)
 
 
@@ -213,6 +238,7 @@
         script.until(lambda: script.calls)
         script.engines.cancel(attempt)
         assert script.end(attempt).outcome is api.Outcome.CANCELLED and not said
+
     script.play(scene)
 
 
@@ -222,6 +248,7 @@
         while True:
             conn.write(more, time.monotonic() + LONG)
             conn.hub.sleep(pause)
+
     return say_on
 
 
@@ -229,18 +256,27 @@
     def say_less(conn) -> None:
         conn.write(start, time.monotonic() + LONG)
         conn.close()
+
     return say_less
 
 
-@pytest.mark.parametrize("spoilt", [
-    endless(b"HTTP/1.1 200 X\r\n", b"X", 0.02), endless(b"HTTP/1.1 200 X\r\n", b"X-More: more\r\n" * 50),
-    endless(b"", b"HTTP/1.1 100 X\r\n\r\n"), endless(b"", b"HTTP/1.1 100 X\r\n\r\n", 0.3),
-    endless(b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n", b"400\r\n" + b"x" * 1024 + b"\r\n"),
-    endless(b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n", b"1\r\nx\r\n", 0.02),
-    endless(b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", b"X: x\r\n", 0.02),
-    endless(b"HTTP/1.1 200 X\r\nX-Batches: 1\r\nContent-Length: 60000\r\n\r\n", b"x", 0.02),
-    broken(b"HTTP/1.1 2"), broken(b"HTTP/1.1 503 X\r\nX-Shed: 1\r\n"), broken(OK[:-1]),
-    broken(b"HTTP/1.1 503 X\r\nX-Shed: 1\r\nContent-Length: 9\r\n\r\n")])
+@pytest.mark.parametrize(
+    "spoilt",
+    [
+        endless(b"HTTP/1.1 200 X\r\n", b"X", 0.02),
+        endless(b"HTTP/1.1 200 X\r\n", b"X-More: more\r\n" * 50),
+        endless(b"", b"HTTP/1.1 100 X\r\n\r\n"),
+        endless(b"", b"HTTP/1.1 100 X\r\n\r\n", 0.3),
+        endless(b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n", b"400\r\n" + b"x" * 1024 + b"\r\n"),
+        endless(b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n", b"1\r\nx\r\n", 0.02),
+        endless(b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", b"X: x\r\n", 0.02),
+        endless(b"HTTP/1.1 200 X\r\nX-Batches: 1\r\nContent-Length: 60000\r\n\r\n", b"x", 0.02),
+        broken(b"HTTP/1.1 2"),
+        broken(b"HTTP/1.1 503 X\r\nX-Shed: 1\r\n"),
+        broken(OK[:-1]),
+        broken(b"HTTP/1.1 503 X\r\nX-Shed: 1\r\nContent-Length: 9\r\n\r\n"),
+    ],
+)
 def test_an_answer_that_has_no_end_is_bounded_and_asked_for_again(spoilt):
     script = Script([spoilt, rows(b"a")])
 
@@ -248,4 +284,5 @@
         end = script.end(script.start())
         assert end.result is not None and end.result.pages == (b"\t\ta\n",)
         script.until(lambda: script.pools.count == len(script.peer.idle) == 1)  # the other is closed
+
     script.play(scene)
--- a/tests/test_attempts_ended.py
+++ b/tests/test_attempts_ended.py
@@ -1,4 +1,5 @@
 """What becomes of an attempt that is cancelled, or whose engine drains or is replaced, at each stage."""
+
 from __future__ import annotations
 
 import time
@@ -53,6 +54,7 @@
         for other in before:
             script.end(other)
         script.until(lambda: script.pools.count == script.peer.dialing == 0)
+
     script.play(scene)
 
 
@@ -66,6 +68,7 @@
         def say_late(conn) -> None:
             script.until(lambda: go)
             conn.write(answer, time.monotonic() + LONG)
+
         return say_late
 
     first = say(202, "X-Remark: frac", "X-Num: 0.1") if where == "pause" else held(say(202))
@@ -83,6 +86,7 @@
             assert end.outcome is api.Outcome.OK and end.result.pages == (b"\t\ta\n",)
         script.until(lambda: script.pools.count == len(script.peer.idle))
         assert how == "cancelled" or not script.peer.idle
+
     script.play(scene)
 
 
@@ -113,4 +117,5 @@
         script.engines.cancel(attempt)
         script.end(attempt)
         assert any(call.startswith("put") for call in script.calls) == told
+
     script.play(scene)
--- a/tests/test_authority.py
+++ b/tests/test_authority.py
@@ -1,4 +1,5 @@
 """The authority's parts one by one: configuration, disk, table, leaving, late comers, malformed messages."""
+
 from __future__ import annotations
 
 import random
@@ -18,9 +19,15 @@
     return Record(number, 1, "k", key, body)
 
 
-@pytest.mark.parametrize("bad", [
-    {"voters": ()}, {"voters": ("a", "a")}, {"voters": ("a",), "lease": 1.0},
-    {"voters": ("a",), "margin": -1.0}])
+@pytest.mark.parametrize(
+    "bad",
+    [
+        {"voters": ()},
+        {"voters": ("a", "a")},
+        {"voters": ("a",), "lease": 1.0},
+        {"voters": ("a",), "margin": -1.0},
+    ],
+)
 def test_rules_name_the_field(bad):
     with pytest.raises(FleetConfigTrouble, match=list(bad)[-1]):
         Rules(**bad)
@@ -137,7 +144,11 @@
     assert table.replace([record(5, "d")], 5, 4) is None and table.last == 3
     change = table.replace([record(9, "d")], 9, 8)
     assert [(r.number, r.key, bool(r.body)) for r in change.news] == [
-        (4, "a", False), (5, "b", False), (6, "c", False), (9, "d", True)]
+        (4, "a", False),
+        (5, "b", False),
+        (6, "c", False),
+        (9, "d", True),
+    ]
 
 
 def test_the_largest_record_fits_and_a_larger_one_is_left_out():
--- a/tests/test_authority_world.py
+++ b/tests/test_authority_world.py
@@ -1,5 +1,6 @@
 """The authority on a virtual clock: promises checked after every step, and each checker shown to catch a
 defect."""
+
 from __future__ import annotations
 
 import random
@@ -53,9 +54,17 @@
     play(seed, size=size, voters=voters)
 
 
-@pytest.mark.parametrize("defect", [
-    defects.ForgetsItsPromise, defects.VotesWithoutItsDisk, defects.EndsItsGrantsEarly,
-    defects.AgreesByAMinority, defects.ReadsNoMajority, defects.KeepsItsLease])
+@pytest.mark.parametrize(
+    "defect",
+    [
+        defects.ForgetsItsPromise,
+        defects.VotesWithoutItsDisk,
+        defects.EndsItsGrantsEarly,
+        defects.AgreesByAMinority,
+        defects.ReadsNoMajority,
+        defects.KeepsItsLease,
+    ],
+)
 def test_a_planted_defect_is_caught_by_schedules(monkeypatch, defect):
     kind = defects.plant(monkeypatch, defect)
     with pytest.raises(AssertionError, match=CAUGHT):
@@ -67,9 +76,16 @@
     return sorted(effects, key=lambda effect: isinstance(effect, Store))
 
 
-@pytest.mark.parametrize("defect", [
-    defects.AnswersBeforeTheDisk, defects.ForgetsItsPromise, defects.WaitsForNothingAfterRestart,
-    defects.CountsFromReceipt, defects.KeepsItsLease])
+@pytest.mark.parametrize(
+    "defect",
+    [
+        defects.AnswersBeforeTheDisk,
+        defects.ForgetsItsPromise,
+        defects.WaitsForNothingAfterRestart,
+        defects.CountsFromReceipt,
+        defects.KeepsItsLease,
+    ],
+)
 def test_a_planted_defect_is_caught_by_the_model(monkeypatch, defect):
     defects.plant(monkeypatch, defect)
     late = defect is defects.AnswersBeforeTheDisk
@@ -104,6 +120,7 @@
     def cut(proc, part, effect):
         if proc.name == new and isinstance(effect, Inform):
             world.net.cut(new, voter)
+
     world.before = cut
     assert world.until(lambda: world.coordinator() is world.procs[new], 8)
     world.propose("key")
--- a/tests/test_both.py
+++ b/tests/test_both.py
@@ -1,4 +1,5 @@
 """The rules on sockets, each played once per protocol against stand-in engines."""
+
 from __future__ import annotations
 
 import time
@@ -27,6 +28,7 @@
         client = world.client()
         for _ in range(3):
             assert client.ask("select * from sales_1.x") == Reply("served", rows)
+
     world.run(play)
 
 
@@ -43,6 +45,7 @@
         world.until(lambda: world.engines[0].stopped == ["select slow"])
         world.engines[0].act = lambda s: Act()
         assert client.ask("select again").kind == "served"  # and nothing came in between
+
     world.run(play)
 
 
@@ -61,6 +64,7 @@
             assert client.read(5).kind == "cancelled"
         world.until(lambda: world.engines[0].stopped == ["select slow"])
         assert client.ask("select quick").rows == ROWS
+
     world.run(play)
 
 
@@ -76,14 +80,23 @@
         world.until(lambda: world.engines[0].began)
         client.close()
         world.until(lambda: world.engines[0].stopped == ["select slow"] and not world.node.owner.open)
+
     world.run(play)
 
 
 @PROTOCOLS
-@pytest.mark.parametrize("cls, end, kind, starts", [
-    ("lookup", "reset", "served", 2), ("booking", "reset", "served", 2), ("once", "reset", "failed", 1),
-    ("lookup", "error", "served", 2), ("once", "error", "failed", 1),
-    ("lookup", "full", "served", 2), ("once", "full", "served", 2)])
+@pytest.mark.parametrize(
+    "cls, end, kind, starts",
+    [
+        ("lookup", "reset", "served", 2),
+        ("booking", "reset", "served", 2),
+        ("once", "reset", "failed", 1),
+        ("lookup", "error", "served", 2),
+        ("once", "error", "failed", 1),
+        ("lookup", "full", "served", 2),
+        ("once", "full", "served", 2),
+    ],
+)
 def test_what_may_have_run_goes_out_again_only_where_its_class_allows(protocol, cls, end, kind, starts):
     # only a refusal as full proves that nothing ran: a class that must not run twice is failed otherwise
     world = World(protocol)
@@ -95,6 +108,7 @@
             engine.act = lambda s: Act(end="ok" if sum(len(e.began) for e in world.engines) else end)
         assert world.client(cls).ask("insert into sales_2.x").kind == kind
         assert sum(len(e.began) for e in world.engines) == starts
+
     world.run(play)
 
 
@@ -110,6 +124,7 @@
         began = time.monotonic()
         assert world.client(cls).ask("select 1").kind == "refused"
         assert time.monotonic() - began < 4
+
     world.run(play)
 
 
@@ -124,6 +139,7 @@
         for _ in range(4):
             assert world.client(cls).ask("select 1").kind == "served"
         assert not world.engines[0].began
+
     world.run(play)
 
 
@@ -139,6 +155,7 @@
             engine.act = lambda s: Act(after=0.3, end="reset")
         world.client().ask("select 1")
         assert sum(len(e.began) for e in world.engines) > 1 and max(e.most for e in world.engines) == 1
+
     world.run(play)
 
 
@@ -164,6 +181,7 @@
         late = [at for at, s in a.began if at > told + 0.5]
         assert not late and len(b.began) > 3
         assert report.read(10).rows == WIDE and a.ended.count("select long from sales_1.x") == 1
+
     world.run(play)
 
 
@@ -182,6 +200,7 @@
         world.tell([world.member(a, api.EngineState.GONE), new])
         assert client.ask("select 2").kind == "served"
         assert not old.open and [p.engine for p in world.node.owner.peers.values()] == ["s-000000ff"]
+
     world.run(play)
 
 
@@ -206,6 +225,7 @@
         work = sum(0.05 for _ in cold.began)
         assert work <= 0.31 * 2.5 * 1.5, "more than the budget of its window"
         assert len(warm.began) > 3 * len(cold.began)
+
     world.run(play)
 
 
@@ -230,6 +250,7 @@
         world.until(lambda: stopped)
         world.hub.stop = stop
         assert stopped[0] - began < 3.7
+
     world.run(play)
 
 
@@ -243,6 +264,7 @@
         assert client.ask("select 1").kind == "served"
         world.node.post(Closing())
         assert client.ask("select 2").kind == "refused" and world.engines[0].statements == ["select 1"]
+
     world.run(play)
 
 
@@ -258,4 +280,5 @@
             client.send("select 1")
             world.hub.sleep(0.3)
             assert client.read(5).rows == WIDE
+
     world.run(play)
--- a/tests/test_both_connections.py
+++ b/tests/test_both_connections.py
@@ -1,4 +1,5 @@
 """Connections on sockets, each rule played once per protocol: broken, many, quiet, mute and gone."""
+
 from __future__ import annotations
 
 import gc
@@ -33,6 +34,7 @@
                 conn.close()
             world.hub.sleep(0.02)
         assert len(world.engines[0].began) == 3
+
     world.run(play)
 
 
@@ -62,6 +64,7 @@
             node.pools.retire(peer)
             found.clear()
         assert count[0] == 12 and node.owner.gateway.fleet.engines[engine.name].healthy
+
     world.run(play)
 
 
@@ -78,6 +81,7 @@
             client.send("select 1")
         assert [client.read(5).kind for client in clients] == ["served"] * 6
         assert world.engines[0].most <= 2 and world.node.pools.count <= 2
+
     world.run(play)
 
 
@@ -96,6 +100,7 @@
             assert world.client().ask("select 1").kind == "served"
         assert len(listener.connections) <= 6
         assert first.read(5).kind == "served"  # something was open on it
+
     world.run(play)
 
 
@@ -121,6 +126,7 @@
             with pytest.raises(Closed):
                 conn.fill(until)
         assert len(listener.connections) <= 2
+
     world.run(play)
 
 
@@ -130,8 +136,11 @@
     world = World(protocol, 1)
 
     def count() -> Counter:
-        return Counter(type(o).__name__ for o in gc.get_objects() if isinstance(
-            o, Connection | Call | Attempt | Peer | Task | BaseException))
+        return Counter(
+            type(o).__name__
+            for o in gc.get_objects()
+            if isinstance(o, Connection | Call | Attempt | Peer | Task | BaseException)
+        )
 
     def churn(rounds: int) -> None:
         for at in range(rounds):
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -1,4 +1,5 @@
 """A client that has gone, or has given a request up: nothing begins for it any more, wherever it stands."""
+
 from __future__ import annotations
 
 import socket
@@ -38,6 +39,7 @@
         if isinstance(event, kind):
             world.until(lambda: until(event))
         take(event)
+
     world.node.owner.take = late
 
 
@@ -53,8 +55,11 @@
     sock.close()
 
 
-@pytest.mark.parametrize("goes", [socket.socket.close, lambda s: s.shutdown(socket.SHUT_WR), resets],
-                         ids=["closes", "half-closes", "resets"])
+@pytest.mark.parametrize(
+    "goes",
+    [socket.socket.close, lambda s: s.shutdown(socket.SHUT_WR), resets],
+    ids=["closes", "half-closes", "resets"],
+)
 @pytest.mark.parametrize("size, lag", [(600, 0.0), (1, 0.05)], ids=["flood", "behind"])
 def test_an_end_behind_requests_that_lie_there_is_seen_before_they_are_sent_on(goes, size, lag):
     world = World("thrift", 1, ROOMY)
@@ -71,6 +76,7 @@
         world.until(lambda: not listener.connections)
         world.until(lambda: not world.node.owner.open)
         assert world.engines[0].statements == ["select 0"]
+
     world.run(play)
 
 
@@ -85,11 +91,15 @@
         client.send("select 32")
         assert client.read(10).kind == "served"
         assert world.engines[0].statements == [f"select {at}" for at in (*range(1, 17), 32)]
+
     world.run(play)
 
 
-@pytest.mark.parametrize("bad", [b"\0\0\0\4GET ", b"".join(
-    thrift.frame(thrift.CALL, "nobody", at, b"") for at in range(2, 18))], ids=["malformed", "unusable"])
+@pytest.mark.parametrize(
+    "bad",
+    [b"\0\0\0\4GET ", b"".join(thrift.frame(thrift.CALL, "nobody", at, b"") for at in range(2, 18))],
+    ids=["malformed", "unusable"],
+)
 def test_a_client_whose_requests_are_taken_no_more_can_give_up_what_is_open(bad):
     world = World("thrift", 1)
 
@@ -105,6 +115,7 @@
         client.conn.write(again + forget(1), time.monotonic() + 5)
         world.until(lambda: not call.open)
         assert call.gone and world.engines[0].statements == ["select 1"]
+
     world.run(play)
 
 
@@ -119,11 +130,13 @@
         hold(world, books.Asked, lambda asked: calls.append(asked.call) or asked.call.gone)
         client.send("select 1")
         client.close() if how == "closes" else (
-            client.cancel() if protocol == "tds" else client.conn.write(forget(1), time.monotonic() + 5))
+            client.cancel() if protocol == "tds" else client.conn.write(forget(1), time.monotonic() + 5)
+        )
         queue = world.node.owner.queue.items
         world.until(lambda: calls and calls[0].gone and not queue)
         assert not [event for event in seen if isinstance(event, api.Request)]
         assert not world.engines[0].began and not world.node.owner.open
+
     world.run(play)
 
 
@@ -142,11 +155,13 @@
             world.until(lambda: call.gone)
             begun.append(call)
             return found
+
         world.node.pools.take = slow
         hold(world, books.Left, lambda left: begun)
         client.send("select 1")
         world.until(lambda: begun and not world.node.owner.open)
         assert not world.engines[0].began
+
     world.run(play)
 
 
@@ -162,10 +177,12 @@
         def gone(end) -> bool:
             client.close()
             return end.attempt.call.gone
+
         hold(world, books.Ended, gone)
         client.send("select 1")
         world.until(lambda: starts and not world.node.owner.open)
         assert len(starts) == 1 and sum(len(engine.began) for engine in world.engines) == 1
+
     world.run(play)
 
 
@@ -192,6 +209,7 @@
             assert not world.engines[0].began
             for caller in callers:
                 caller.close()
+
     world.run(play)
 
 
@@ -215,6 +233,7 @@
             assert client.read(20).rows == ROWS
         world.until(lambda: not owner.open)
         assert call.gone and call not in [attempt.call for attempt in starts]
+
     world.run(play)
 
 
@@ -223,11 +242,15 @@
 
     def play():
         client, listener = world.client(), world.node.fronts[0][1]
-        hold(world, books.Ended, lambda end: client.close() or end.attempt.call.gone
-             or end.attempt.call.statement != b"select 1")
+        hold(
+            world,
+            books.Ended,
+            lambda end: client.close() or end.attempt.call.gone or end.attempt.call.statement != b"select 1",
+        )
         client.send("select 1")
         world.until(lambda: world.engines[0].ended and not listener.connections)
         world.until(lambda: not world.node.owner.open)
         assert world.node.fronts[0][0].writing == 0
         assert world.client().ask("select 2").rows == ROWS
+
     world.run(play)
--- a/tests/test_clock_steps.py
+++ b/tests/test_clock_steps.py
@@ -1,4 +1,5 @@
 """A real front end on a machine whose wall clock is stepped: all spans of time stay spans of real time."""
+
 from __future__ import annotations
 
 import math
@@ -21,9 +22,18 @@
 BAD_PLAN_AT = 1.25 * WINDOW  # age at which a query tells that it gets nowhere: a repeat is too late by then
 STEPS = [0.0, -2.0, -3600.0, 5.0, 3600.0]
 SETTINGS = INFO | {
-    "classes": [{"name": "booking", "effect": "by_key", "on_time_ns": 10**10, "give_up_ns": 2 * 10**10,
-                 "window_ns": int(WINDOW * 1e9)}],
-    "group_size": 1, "me": 0}
+    "classes": [
+        {
+            "name": "booking",
+            "effect": "by_key",
+            "on_time_ns": 10**10,
+            "give_up_ns": 2 * 10**10,
+            "window_ns": int(WINDOW * 1e9),
+        }
+    ],
+    "group_size": 1,
+    "me": 0,
+}
 WORK, START, COLD, MULTIPLE, FALL = 0.05, 0.31, 12.0, 2.5, 1.5  # of a request; of a cold engine
 CORES, CLIENTS = 2, 12  # of an engine; each of them asks again as soon as it has its answer
 COLD_SETTINGS = SETTINGS | {"classes": INFO["classes"][:1], "family_info": {"cores_by_kind": [CORES]}}
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -1,4 +1,5 @@
 """The world on a virtual clock: it plays the same again, delivers what it should, and finds what is wrong."""
+
 from __future__ import annotations
 
 from collections import Counter
@@ -133,6 +134,7 @@
     def steps(seed):
         world = play(Lender, seed, 30.0)
         return world.steps, [(p.name, p.life, p.clock(), p.part("lender").held) for p in world.running]
+
     assert steps(5) == steps(5) != steps(6)
 
 
@@ -267,8 +269,10 @@
     assert not world.procs["b"].notes
 
 
-@pytest.mark.parametrize("effect, text", [
-    (Post("b", b"x" * 901), "901 bytes"), (Put("t", b"x" * 601), "601 bytes"), ("nothing", "no effect")])
+@pytest.mark.parametrize(
+    "effect, text",
+    [(Post("b", b"x" * 901), "901 bytes"), (Put("t", b"x" * 601), "601 bytes"), ("nothing", "no effect")],
+)
 def test_what_no_driver_carries_out_is_a_fault(effect, text):
     class Wrong(Quiet):
         def on_tick(self, now):
@@ -280,8 +284,20 @@
 
 def test_schedules_hold_all_kinds_and_end_calm():
     seen = Counter(row[1] for seed in range(20) for row in schedule(seed, NAMES, 60.0))
-    assert seen.keys() == {"crash", "start", "leave", "pause", "disk", "misjudge", "trip", "net.part",
-                           "net.cut", "net.link", "net.heal", "calm"}
+    assert seen.keys() == {
+        "crash",
+        "start",
+        "leave",
+        "pause",
+        "disk",
+        "misjudge",
+        "trip",
+        "net.part",
+        "net.cut",
+        "net.link",
+        "net.heal",
+        "calm",
+    }
     assert schedule(3, NAMES, 60.0) == schedule(3, NAMES, 60.0) != schedule(4, NAMES, 60.0)
 
 
@@ -293,6 +309,7 @@
 
 # ---- with the program's own peers ---------------------------------------------------------------------
 
+
 def play_peered(part, seed, seconds=60.0):
     world = PeeredCluster(seed, NAMES, lambda name, rng: [part(rng)], checks=[never_more_than_the_whole])
     world.play(schedule(seed, NAMES, seconds))
