--- a/tests/test_cold_processes.py
+++ b/tests/test_cold_processes.py
@@ -6,6 +6,7 @@
 the 7 that are started anew bring 27 at most, however a stall of the machine bunches them; the least bound is
 34. A stall of this process holds the clients too, each of which has one request out.
 """
+
 from __future__ import annotations
 
 import json
@@ -32,9 +33,16 @@
 FRONTS, ANEW, PAUSE = 20, range(0, 20, 3), 0.2  # front ends; those killed; seconds between two requests
 WORK, START, COLD, MULTIPLE, WINDOW = 0.05, 0.31, 12.0, 2.5, 1.5  # of a request in core-seconds; of the cold
 SETTINGS = INFO | {
-    "classes": INFO["classes"][:1], "family_info": {"cores_by_kind": [1]}, "group_size": FRONTS,
-    "guarantees": {"start_capacity": START, "cold_ns": int(COLD * 1e9), "fall_multiple": MULTIPLE,
-                   "fall_ns": int(WINDOW * 1e9)}}
+    "classes": INFO["classes"][:1],
+    "family_info": {"cores_by_kind": [1]},
+    "group_size": FRONTS,
+    "guarantees": {
+        "start_capacity": START,
+        "cold_ns": int(COLD * 1e9),
+        "fall_multiple": MULTIPLE,
+        "fall_ns": int(WINDOW * 1e9),
+    },
+}
 WITHIN = 60.0  # seconds of a machine that is busy; all holds much sooner
 
 
@@ -57,21 +65,41 @@
     def tell(self, engine: HttpEngine, born_ms: int) -> None:
         """One more engine, to the bulletin and to whoever is started from now on."""
         port = engine.listener.address[1]
-        self.hosts.append({"host": engine.name, "dial": f"127.0.0.1:{port}", "site": "z", "class": "k",
-                           "block": 0, "health": "in_service", "share": 4, "born_ms": born_ms})
+        self.hosts.append(
+            {
+                "host": engine.name,
+                "dial": f"127.0.0.1:{port}",
+                "site": "z",
+                "class": "k",
+                "block": 0,
+                "health": "in_service",
+                "share": 4,
+                "born_ms": born_ms,
+            }
+        )
         record = wire.RECORD.pack(int(engine.name[2:], 16), b"\x7f\0\0\1", port, 0, 0, 0, 0, 1000, born_ms)
         self.feed.events.append((len(self.hosts), wire.CHANGES, record))
 
     def start(self, me: int) -> None:
         path, no = self.folder / f"n{me}.json", len(self.hosts)
         known = {"no": no, "items": [{"no": no, "roster": {"seq": 1, "whole": True, "hosts": self.hosts}}]}
-        path.write_text(json.dumps({
-            "name": f"n{me}", "listen": "{}:{}".format(*self.ports[me].getsockname()), "seed": f"{me + 1:x}",
-            "limits": {"sockets": 64}, "bulletin": "{}:{}".format(*self.feed.listener.address),
-            "known": known, "settings": SETTINGS | {"me": me}}))
+        path.write_text(
+            json.dumps(
+                {
+                    "name": f"n{me}",
+                    "listen": "{}:{}".format(*self.ports[me].getsockname()),
+                    "seed": f"{me + 1:x}",
+                    "limits": {"sockets": 64},
+                    "bulletin": "{}:{}".format(*self.feed.listener.address),
+                    "known": known,
+                    "settings": SETTINGS | {"me": me},
+                }
+            )
+        )
         with open(self.folder / f"log{me}", "ab") as log:
-            self.processes[me] = subprocess.Popen([sys.executable, "-m", "aspenrill"], stderr=log,
-                                                  env=os.environ | {"NODE_CONFIG": str(path)})
+            self.processes[me] = subprocess.Popen(
+                [sys.executable, "-m", "aspenrill"], stderr=log, env=os.environ | {"NODE_CONFIG": str(path)}
+            )
 
     def kill(self, me: int) -> None:
         if (process := self.processes.pop(me, None)) is not None:
@@ -126,8 +154,12 @@
             cluster.kill(me)
             cluster.served[me] = 0
             cluster.start(me)
-        cluster.until(lambda: all(cluster.served) and time.monotonic() > born + (
-            3 * WINDOW if len(cluster.cold.began) > FRONTS / 2 else COLD))
+        cluster.until(
+            lambda: (
+                all(cluster.served)
+                and time.monotonic() > born + (3 * WINDOW if len(cluster.cold.began) > FRONTS / 2 else COLD)
+            )
+        )
         ages.extend(age for at, _ in cluster.cold.began if (age := at - born) < COLD)
         cluster.over = True
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -1,4 +1,5 @@
 """The page of crossings names code and tests that are there."""
+
 from __future__ import annotations
 
 import ast
@@ -29,6 +30,10 @@
 
 def test_each_row_says_by_what_it_is_shown():
     rows = [line.split(" | ") for line in PAGE.splitlines() if line.startswith("| ") and "---" not in line]
-    bare = [row[0] for row in rows if row[0] != "| the two events" and not re.search(
-        r"`test_\w+:test_\w+`|same test|by reading|open:|not shown", row[-1])]
+    bare = [
+        row[0]
+        for row in rows
+        if row[0] != "| the two events"
+        and not re.search(r"`test_\w+:test_\w+`|same test|by reading|open:|not shown", row[-1])
+    ]
     assert len(rows) > 60 and not bare, bare
--- a/tests/test_dns.py
+++ b/tests/test_dns.py
@@ -1,4 +1,5 @@
 """DNS messages: dnspython as the oracle, and what is spoilt or never ends."""
+
 from __future__ import annotations
 
 import time
@@ -19,10 +20,13 @@
 RDATA = st.one_of(
     st.tuples(st.just("A"), st.ip_addresses(v=4).map(str)),
     st.tuples(st.just("AAAA"), st.ip_addresses(v=6).map(str)),
-    st.tuples(st.just("PTR"), NAMES), st.tuples(st.just("CNAME"), NAMES),
-    st.tuples(st.just("SRV"), st.tuples(NUMBER, NUMBER, NUMBER, NAMES).map(
-        lambda row: " ".join(map(str, row)))),
-    st.tuples(st.just("TXT"), st.text("abc=;", max_size=9).map(lambda text: f'"{text}"')))
+    st.tuples(st.just("PTR"), NAMES),
+    st.tuples(st.just("CNAME"), NAMES),
+    st.tuples(
+        st.just("SRV"), st.tuples(NUMBER, NUMBER, NUMBER, NAMES).map(lambda row: " ".join(map(str, row)))
+    ),
+    st.tuples(st.just("TXT"), st.text("abc=;", max_size=9).map(lambda text: f'"{text}"')),
+)
 ROWS = st.lists(st.tuples(NAMES, st.integers(0, 2**31 - 1), RDATA), max_size=8)
 
 
@@ -34,8 +38,9 @@
 
 
 def as_oracle(found: dns.message.Message) -> list[tuple]:
-    return sorted((rrset.name.to_text().lower(), int(rrset.rdtype), rrset.ttl, len(rrset))
-                  for rrset in found.answer)
+    return sorted(
+        (rrset.name.to_text().lower(), int(rrset.rdtype), rrset.ttl, len(rrset)) for rrset in found.answer
+    )
 
 
 @settings(derandomize=True, deadline=None, max_examples=150, database=None)
@@ -61,7 +66,7 @@
     data = bytearray(message(rows).to_wire())
     for at, value in changes:
         data[at % len(data)] = value
-    data = bytes(data[:len(data) - cut % len(data)] if cut % 3 == 0 else data)
+    data = bytes(data[: len(data) - cut % len(data)] if cut % 3 == 0 else data)
     try:
         reply = wire.read_reply(data)
     except Malformed:
@@ -87,10 +92,18 @@
         pass
 
 
-@pytest.mark.parametrize("tail", [
-    b"\xc0\x0c\0\x21\0\1", b"\xc0\x0e\xc0\x0c\0\x21\0\1", b"\x01a\xc0\x0c\0\x21\0\1", b"\xc0\xff\0\x21\0\1",
-    b"\x3f" + b"a" * 20, (b"\x3f" + b"a" * 63) * 5 + b"\0\0\x21\0\1"],
-    ids=["itself", "in turns", "label and back", "forward", "cut", "long"])
+@pytest.mark.parametrize(
+    "tail",
+    [
+        b"\xc0\x0c\0\x21\0\1",
+        b"\xc0\x0e\xc0\x0c\0\x21\0\1",
+        b"\x01a\xc0\x0c\0\x21\0\1",
+        b"\xc0\xff\0\x21\0\1",
+        b"\x3f" + b"a" * 20,
+        (b"\x3f" + b"a" * 63) * 5 + b"\0\0\x21\0\1",
+    ],
+    ids=["itself", "in turns", "label and back", "forward", "cut", "long"],
+)
 def test_names_that_never_end(tail):
     with pytest.raises(Malformed):
         wire.read_reply(wire.HEAD.pack(1, 0x8000, 1, 0, 0, 0) + tail)
@@ -98,8 +111,12 @@
 
 def test_a_packet_of_names_that_point_at_each_other_costs_little():
     # 64 KB of records whose names are chains of pointers would hold the loop up for seconds
-    head = wire.HEAD.pack(1, 0x8000, 1, 4000, 0, 0) + b"".join(
-        b"\x01a" for _ in range(120)) + b"\0" + b"\0\x21\0\1"
+    head = (
+        wire.HEAD.pack(1, 0x8000, 1, 4000, 0, 0)
+        + b"".join(b"\x01a" for _ in range(120))
+        + b"\0"
+        + b"\0\x21\0\1"
+    )
     at, body = 12, b""
     for _ in range(4000):
         body += bytes([0xC0 | at >> 8, at & 255]) + b"\0\x01\0\1\0\0\0\x3c\0\4\x7f\0\0\1"
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -1,4 +1,5 @@
 """Types of errors and the page that lists them say the same."""
+
 from __future__ import annotations
 
 import ast
@@ -19,8 +20,13 @@
     bases: list[tuple[str, str, set[str]]] = []
     for path, text in sources.items():
         tree = ast.parse(text)
-        alias = {name.asname: name.name for node in ast.walk(tree) if isinstance(node, ast.ImportFrom)
-                 for name in node.names if name.asname}
+        alias = {
+            name.asname: name.name
+            for node in ast.walk(tree)
+            if isinstance(node, ast.ImportFrom)
+            for name in node.names
+            if name.asname
+        }
         for node in ast.walk(tree):
             if isinstance(node, ast.ClassDef):
                 found = {ast.unparse(base).split(".")[-1] for base in node.bases}
@@ -38,8 +44,11 @@
 
 
 def types() -> list[type[errors.Trouble]]:
-    return [t for t in vars(errors).values()
-            if isinstance(t, type) and issubclass(t, errors.Trouble) and t is not errors.Trouble]
+    return [
+        t
+        for t in vars(errors).values()
+        if isinstance(t, type) and issubclass(t, errors.Trouble) and t is not errors.Trouble
+    ]
 
 
 def test_all_types_are_defined_in_one_module():
@@ -49,8 +58,10 @@
 
 
 def test_a_type_defined_elsewhere_is_found():
-    planted = {"aspenrill/a.py": "from .errors import WireTrouble as W\nclass Odd(W): ...\n",
-               "aspenrill/b.py": "from . import a\nclass Odder(a.Odd): ...\n"}
+    planted = {
+        "aspenrill/a.py": "from .errors import WireTrouble as W\nclass Odd(W): ...\n",
+        "aspenrill/b.py": "from . import a\nclass Odder(a.Odd): ...\n",
+    }
     found = subclasses_in(the_sources() | planted)
     assert (found["Odd"], found["Odder"]) == ("aspenrill/a.py", "aspenrill/b.py")
 
--- a/tests/test_failing_calls.py
+++ b/tests/test_failing_calls.py
@@ -1,4 +1,5 @@
 """A real front end whose calls to the system fail as Linux documents: each request has its one answer."""
+
 from __future__ import annotations
 
 import signal
--- a/tests/test_farm.py
+++ b/tests/test_farm.py
@@ -1,4 +1,5 @@
 """Many gateways before engines that share cores: what all together serve of each class, through losses."""
+
 from __future__ import annotations
 
 from dataclasses import replace
@@ -11,18 +12,39 @@
 
 LOOKUP = api.QueryClass(aim=1.0, patience=5.0, effect=Effect.SAFE, aim_stretch=1.5)
 REPORT = api.QueryClass(aim=1.5, patience=20.0, effect=Effect.SAFE, worth=8, threads=2, aim_stretch=2.5)
-LOAD = api.QueryClass(aim=3.0, patience=25.0, effect=Effect.KEYED, worth=12, threads=2, aim_stretch=3.0,
-                      is_load=True, dedup_window=15.0)
+LOAD = api.QueryClass(
+    aim=3.0,
+    patience=25.0,
+    effect=Effect.KEYED,
+    worth=12,
+    threads=2,
+    aim_stretch=3.0,
+    is_load=True,
+    dedup_window=15.0,
+)
 WORK, MIX = (0.185, 3.1, 5.6), (0.79, 0.15, 0.06)
 
 
-def farm(gateways: int, engines: int, cores: tuple[int, ...], seed: int = 1,
-         load: api.QueryClass = LOAD) -> Farm:
+def farm(
+    gateways: int, engines: int, cores: tuple[int, ...], seed: int = 1, load: api.QueryClass = LOAD
+) -> Farm:
     rules = api.Settings(
-        classes=(LOOKUP, REPORT, load), cores_by_kind=cores, gateways=gateways, most_attempts=5,
-        may_probe=True, probe_price=0.08, may_cancel=True, start_capacity=0.31, cold_for=12.0,
-        fall_multiple=2.5, fall_window=1.5, costs_told=True, report_fields=("util", "queue"),
-        priorities_heeded=True, longest_come_back=2.0)
+        classes=(LOOKUP, REPORT, load),
+        cores_by_kind=cores,
+        gateways=gateways,
+        most_attempts=5,
+        may_probe=True,
+        probe_price=0.08,
+        may_cancel=True,
+        start_capacity=0.31,
+        cold_for=12.0,
+        fall_multiple=2.5,
+        fall_window=1.5,
+        costs_told=True,
+        report_fields=("util", "queue"),
+        priorities_heeded=True,
+        longest_come_back=2.0,
+    )
     return Farm(rules, engines, 3, WORK, MIX, seed)
 
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,4 +1,5 @@
 """Many front ends that share nothing: what is harmless from one must stay harmless from all together."""
+
 from __future__ import annotations
 
 from collections import Counter
@@ -18,10 +19,23 @@
 
 
 def fleet(names=NAMES, count: int = GATEWAYS, step: int = 1, **more) -> list[Gateway]:
-    rules = dict(may_probe=True, probe_price=0.08, may_cancel=True, start_capacity=0.3, cold_for=12.0,
-                 fall_multiple=2.5, fall_window=1.5, costs_told=True, report_fields=("util", "queue")) | more
-    told = ListUpdate(ListMode.REMEMBERED, tuple(
-        EngineEntry(n, EngineState.LIVE, kind=i % 2) for i, n in enumerate(names)))
+    rules = (
+        dict(
+            may_probe=True,
+            probe_price=0.08,
+            may_cancel=True,
+            start_capacity=0.3,
+            cold_for=12.0,
+            fall_multiple=2.5,
+            fall_window=1.5,
+            costs_told=True,
+            report_fields=("util", "queue"),
+        )
+        | more
+    )
+    told = ListUpdate(
+        ListMode.REMEMBERED, tuple(EngineEntry(n, EngineState.LIVE, kind=i % 2) for i, n in enumerate(names))
+    )
     base = api.Settings(classes=(LOOKUP, REPORT), cores_by_kind=(8, 16), gateways=count, **rules)
     made = [Gateway(replace(base, me=me), me, 0.0) for me in range(0, count, step)]
     for g in made:
@@ -76,8 +90,13 @@
     # six in ten engines are gone: what is out elsewhere of each share must not all meet at the others
     gateways, left = fleet(), NAMES[18:]
     for g in gateways:
-        g.handle(0.1, ListUpdate(ListMode.CHANGES, tuple(
-            EngineEntry(n, EngineState.DRAINING, kind=i % 2) for i, n in enumerate(NAMES[:18]))))
+        g.handle(
+            0.1,
+            ListUpdate(
+                ListMode.CHANGES,
+                tuple(EngineEntry(n, EngineState.DRAINING, kind=i % 2) for i, n in enumerate(NAMES[:18])),
+            ),
+        )
     for step in range(60):
         for g in gateways:
             g.handle(0.2 + step * 0.01, api.Request(f"{g.set.me}/{step}", 1, 20.0))
@@ -91,8 +110,12 @@
             g.handle(0.1, api.Request(f"r{i}", 1, 20.0))
         out = sum(e.threads for e in g.fleet.engines.values())
         leaving = [e for e in g.live if e.threads][:4]
-        g.handle(0.2, ListUpdate(ListMode.CHANGES, tuple(
-            replace(e.entry, state=EngineState.DRAINING) for e in leaving)))
+        g.handle(
+            0.2,
+            ListUpdate(
+                ListMode.CHANGES, tuple(replace(e.entry, state=EngineState.DRAINING) for e in leaving)
+            ),
+        )
         for i in range(20):
             g.handle(0.3, api.Request(f"s{i}", 1, 20.0))
         assert sum(e.threads for e in g.fleet.engines.values()) > out
@@ -210,8 +233,12 @@
                 share[sent.engine] += seen >= 3
                 bad = sent.engine == "e1" and step % 5 < 2
                 seen += sent.engine == "e1"
-                g.handle(now + 0.05, AttemptEnded(name, 0, sent.engine, Outcome.ERROR if bad else Outcome.OK,
-                                                  0.05, True, 0.05))
+                g.handle(
+                    now + 0.05,
+                    AttemptEnded(
+                        name, 0, sent.engine, Outcome.ERROR if bad else Outcome.OK, 0.05, True, 0.05
+                    ),
+                )
     assert share["e1"] < share["e3"] / 2
 
 
@@ -223,7 +250,7 @@
             g.handle(0.1, api.Request(f"long{i}", 1, 20.0))
         assert g.held  # the cap is reached
         short = [s for i in range(30) for s in of(api.Send, g.handle(0.2, api.Request(f"short{i}", 0, 5.0)))]
-        assert g.part - 1 < len(short) <= THREADS_A_CORE * AT_EASE ** 2 * g.part
+        assert g.part - 1 < len(short) <= THREADS_A_CORE * AT_EASE**2 * g.part
 
 
 def test_a_list_told_whole_again_during_a_release_gives_no_cold_engine_its_turns_anew():
@@ -260,7 +287,7 @@
 
 def test_engines_whose_names_in_news_are_the_same_are_told_of_by_none():
     # 16 bits: of 1,100 engines some share theirs, and one's load was taken for the other's
-    names = [f"s-{i * 2654435761 % 2 ** 32:08x}" for i in range(1100)]
+    names = [f"s-{i * 2654435761 % 2**32:08x}" for i in range(1100)]
     (g,) = fleet(names, 1100, 1100, may_probe=False, may_tell=True)
     shared = Counter(e.tag for e in g.live)
     pair = [e for e in g.live if shared[e.tag] > 1]
--- a/tests/test_fleet_faults.py
+++ b/tests/test_fleet_faults.py
@@ -1,4 +1,5 @@
 """Five to nine real processes of a fleet behind a relay, and what goes wrong between and with them."""
+
 from __future__ import annotations
 
 import secrets
@@ -32,8 +33,13 @@
 
 def found_dead(fleet: Fleet, at: str) -> set[str]:
     """Whom these processes have ever taken for dead, in any of their lives."""
-    return {name for label in at for life in range(len(fleet[label].lives))
-            for name, _, state in fleet[label].said(life) if state == "DEAD"}
+    return {
+        name
+        for label in at
+        for life in range(len(fleet[label].lives))
+        for name, _, state in fleet[label].said(life)
+        if state == "DEAD"
+    }
 
 
 def settle(fleet: Fleet, datagrams: int = 50) -> None:
@@ -64,8 +70,10 @@
         fleet.relay("part", *(",".join(group) for group in shape))
         for group in shape:
             others = set("abcdef") - set(group)
-            fleet.until(lambda g=group, o=others: fleet.all_have(g, "ALIVE")
-                        and fleet.all_have(o, "DEAD", at=g), f"{group} is one side of {shape}")
+            fleet.until(
+                lambda g=group, o=others: fleet.all_have(g, "ALIVE") and fleet.all_have(o, "DEAD", at=g),
+                f"{group} is one side of {shape}",
+            )
     fleet.relay("heal")
     fleet.until(lambda: fleet.all_have("abcdef", "ALIVE"), "all are one again")
     for process in fleet:  # nobody took it for a restart
@@ -134,9 +142,13 @@
     for process in fleet:
         process.kill()
         process.start()
-    fleet.until(lambda: all(p.incarnation for p in fleet) and all(
-        (p.label, p.incarnation, "ALIVE") in q.said() for p in fleet for q in fleet if p is not q),
-        "all know all new lives")
+    fleet.until(
+        lambda: (
+            all(p.incarnation for p in fleet)
+            and all((p.label, p.incarnation, "ALIVE") in q.said() for p in fleet for q in fleet if p is not q)
+        ),
+        "all know all new lives",
+    )
     fleet.until(lambda: fleet.all_have("abcde", "ALIVE"), "and no former one comes between")
 
 
@@ -173,8 +185,12 @@
     fleet.add("n", key_file=str(fleet.write_key("two", new, old)))
     fleet.start("w", "o", "n")
     fleet.until(lambda: fleet.all_have("n", "ALIVE", at="abcde"), "who has the new key among others joins")
-    fleet.until(lambda: all("fleet refused key" in fleet["a"].text() and fleet[x].door[0] in fleet["a"].text()
-                            for x in "wo"), "the others are turned away and named")
+    fleet.until(
+        lambda: all(
+            "fleet refused key" in fleet["a"].text() and fleet[x].door[0] in fleet["a"].text() for x in "wo"
+        ),
+        "the others are turned away and named",
+    )
     assert all(not {"w", "o"} & process.states().keys() for process in fleet)
     assert not {name for name, _, _ in fleet["w"].said() + fleet["o"].said()} & set("abcde")
 
--- a/tests/test_fleet_parts.py
+++ b/tests/test_fleet_parts.py
@@ -1,4 +1,5 @@
 """The parts in real processes: bare ones behind a relay, and one whole sidecar. Waits are for conditions."""
+
 from __future__ import annotations
 
 import json
@@ -51,9 +52,20 @@
 def add(fleet: Fleet, label: str, place: str) -> None:
     folder = fleet.folder / f"{label}.purges"
     folder.mkdir()
-    fleet.add(label, place=place, voters=["a", "b", "c"], front_ends=len(PLACES), alone=0.5,
-              purges={"enabled": True, "lease_s": LEASE, "folder": str(folder),
-                      "state": str(fleet.folder / f"{label}.json")}, **PARTS)
+    fleet.add(
+        label,
+        place=place,
+        voters=["a", "b", "c"],
+        front_ends=len(PLACES),
+        alone=0.5,
+        purges={
+            "enabled": True,
+            "lease_s": LEASE,
+            "folder": str(folder),
+            "state": str(fleet.folder / f"{label}.json"),
+        },
+        **PARTS,
+    )
 
 
 def coordinators(fleet: Fleet) -> dict[str, int]:
@@ -70,6 +82,7 @@
 def settled(fleet: Fleet) -> str:
     """Wait until one coordinates and has settled, and all voters vote; who coordinates. A voter that has no
     record yet can't stand in for one that is lost."""
+
     def one() -> bool:
         now = coordinators(fleet)
         return len(now) == 1 and any(f"authority settled {now[p]}" in fleet[p].text() for p in now)
@@ -85,8 +98,10 @@
 
 
 def complete(fleet: Fleet, at: Process, count: int = 1) -> float:
-    return fleet.until(lambda: len(re.findall(rf"^purge {at.label}/\S+ complete$", at.text(), re.M)) >= count,
-                       "the purge is complete")
+    return fleet.until(
+        lambda: len(re.findall(rf"^purge {at.label}/\S+ complete$", at.text(), re.M)) >= count,
+        "the purge is complete",
+    )
 
 
 def serves(fleet: Fleet, label: str) -> bool:
@@ -107,7 +122,7 @@
     fleet.until(lambda: (fleet.folder / "e.purges" / "one.toml.done").exists(), "the file is done with")
     fleet[first].kill()
     fleet.until(lambda: len(coordinators(fleet)) == 1, "another one")
-    (second, later), = coordinators(fleet).items()
+    ((second, later),) = coordinators(fleet).items()
     assert second in set("abc") - {first} and later > epoch
     order(fleet, fleet["e"], "two")
     complete(fleet, fleet["e"], 2)
@@ -138,8 +153,12 @@
     before = part(fleet["a"])
     for label in "ef":
         fleet[label].kill()
-    fleet.until(lambda: all(part(fleet[label]) > 1.1 * before or part(fleet[label]) > 1.05 * each
-                            for label in "abcd"), "the others have more")
+    fleet.until(
+        lambda: all(
+            part(fleet[label]) > 1.1 * before or part(fleet[label]) > 1.05 * each for label in "abcd"
+        ),
+        "the others have more",
+    )
     assert total(fleet) + 2 * 0.5 * each <= 1.0001  # floors of the dead belong to them
     fleet.start("e", "f")
     fleet.until(lambda: all(part(fleet[label]) > 0.99 * each for label in "ef"), "they are back")
@@ -160,8 +179,10 @@
     full = (fleet[first].folder / "state" / "fleet.sqlite3-wal").stat().st_size  # its log is far smaller
     resource.prlimit(fleet[first].pid, resource.RLIMIT_FSIZE, (full, full))
     order(fleet, fleet["e"], "one")  # its record cannot be written there
-    fleet.until(lambda: "fleet-disk" in fleet[first].text() and "authority rests" in fleet[first].text(),
-                "it has given up its office")
+    fleet.until(
+        lambda: "fleet-disk" in fleet[first].text() and "authority rests" in fleet[first].text(),
+        "it has given up its office",
+    )
     complete(fleet, fleet["e"])
     assert coordinators(fleet).keys() < set("abc") - {first} and fleet[first].running.poll() is None
     assert fleet["d"].end() == 0
@@ -181,10 +202,14 @@
         with Fleet(tmp_path, 1, hub.sleep) as fleet:
             for label in "abc":
                 add(fleet, label, "s/b/h")
-            on = {**PARTS, "kept": {"enabled": True, "class": [{"name": "lookup", "seconds": 600}]},
-                  "purges": {"enabled": True, "lease_s": LEASE, "state": str(tmp_path / "app.json")}}
-            process = fleet.sidecar("app", [engine.listener.address], front_ends=6,
-                                    voters=["a", "b", "c"], **on)
+            on = {
+                **PARTS,
+                "kept": {"enabled": True, "class": [{"name": "lookup", "seconds": 600}]},
+                "purges": {"enabled": True, "lease_s": LEASE, "state": str(tmp_path / "app.json")},
+            }
+            process = fleet.sidecar(
+                "app", [engine.listener.address], front_ends=6, voters=["a", "b", "c"], **on
+            )
             fleet.start()
             fleet.until(lambda: serves(fleet, "app"), "it may serve what it keeps")
             lookup = TdsClient(SimpleNamespace(hub=hub, address=process.front), "lookup", 5.0)
@@ -224,20 +249,26 @@
 BASE = {"name": "a", "key_file": "k", "state": "s", "voters": ["a", "b", "c"]}
 
 
-@pytest.mark.parametrize("tables, fault", [
-    ({"overload": {"enabled": True, "leese_s": 3}}, "fleet.overload.leese_s: no such field"),
-    ({"overload": {"enabled": True, "beat_s": 2}}, "fleet.overload.beat_s: a third of lease_s"),
-    ({"overload": {"enabled": True}, "voters": []}, "fleet.overload.enabled: voters"),
-    ({"authority": {"enabled": True}, "voters": []}, "fleet.authority.enabled: voters"),
-    ({"authority": {"enabled": True, "renew_s": 2}}, "fleet.authority.renew_s: a third"),
-    ({"authority": {"longest_s": 1}}, "fleet.authority.longest_s: at least lease_s of purges"),
-    ({"purges": {"enabled": True}}, "fleet.purges.enabled: authority must be enabled"),
-    ({"kept": {"enabled": True}}, "fleet.kept.enabled: purges must be enabled"),
-    ({"groups": {"enabled": True, "schedule": {"bytes": 1}}}, "fleet.groups.enabled: authority must"),
-    ({"authority": {"enabled": True}, "groups": {"enabled": True}}, "fleet.groups.schedule.bytes: missing"),
-    ({"groups": {"sizes": {"x": 1}}}, "fleet.groups.sizes.x: the number"),
-    ({"groups": {"splits": {"wurm_s": 1}}}, "fleet.groups.splits.wurm_s: no such field"),
-])
+@pytest.mark.parametrize(
+    "tables, fault",
+    [
+        ({"overload": {"enabled": True, "leese_s": 3}}, "fleet.overload.leese_s: no such field"),
+        ({"overload": {"enabled": True, "beat_s": 2}}, "fleet.overload.beat_s: a third of lease_s"),
+        ({"overload": {"enabled": True}, "voters": []}, "fleet.overload.enabled: voters"),
+        ({"authority": {"enabled": True}, "voters": []}, "fleet.authority.enabled: voters"),
+        ({"authority": {"enabled": True, "renew_s": 2}}, "fleet.authority.renew_s: a third"),
+        ({"authority": {"longest_s": 1}}, "fleet.authority.longest_s: at least lease_s of purges"),
+        ({"purges": {"enabled": True}}, "fleet.purges.enabled: authority must be enabled"),
+        ({"kept": {"enabled": True}}, "fleet.kept.enabled: purges must be enabled"),
+        ({"groups": {"enabled": True, "schedule": {"bytes": 1}}}, "fleet.groups.enabled: authority must"),
+        (
+            {"authority": {"enabled": True}, "groups": {"enabled": True}},
+            "fleet.groups.schedule.bytes: missing",
+        ),
+        ({"groups": {"sizes": {"x": 1}}}, "fleet.groups.sizes.x: the number"),
+        ({"groups": {"splits": {"wurm_s": 1}}}, "fleet.groups.splits.wurm_s: no such field"),
+    ],
+)
 def test_each_fault_is_named_by_its_field(tables, fault):
     with pytest.raises(FleetConfigTrouble, match=f"^{re.escape(fault)}"):
         build(read(Reader({**BASE, **tables}, "fleet.", [])), Names(), None)
@@ -253,6 +284,7 @@
 
 # ---- a front end's owner and its feed -----------------------------------------------------------------
 
+
 @pytest.fixture
 def front() -> Front:
     found = Front()
@@ -288,8 +320,9 @@
     for name in ("asked", "refused", "state", "engines", "ejected", "probed"):
         setattr(bridge, name, lambda *told, name=name: bridge.calls.append((name, *told)))
     counted = []
-    groups = SimpleNamespace(count=lambda *told: counted.append(told),
-                             tell=lambda now, facts: counted.append(facts))
+    groups = SimpleNamespace(
+        count=lambda *told: counted.append(told), tell=lambda now, facts: counted.append(facts)
+    )
     feed = front.owner.fleet = Feed(front.owner, SimpleNamespace(groups=groups), bridge)
     front.ask("a")
     front.ask("l", b"insert into sales_17.t values (1)", 1)
@@ -300,7 +333,9 @@
     assert names == ["asked", "asked", "state", "engines"]
     assert bridge.calls[0][:4] == ("asked", 5.0, 0, 0) and bridge.calls[0][5] == 2.0
     assert bridge.calls[2][1] == 1 and bridge.calls[3][1:] == (
-        [("x", pytest.approx(13.6)), ("y", pytest.approx(13.6))], [])
+        [("x", pytest.approx(13.6)), ("y", pytest.approx(13.6))],
+        [],
+    )
     assert counted[1].engines == ("x", "y") and not counted[1].storm
     engine = front.owner.gateway.fleet.engines["x"]
     front.owner.gateway.ejected, engine.ejected_until = [engine], 1e12
--- a/tests/test_fleet_peers.py
+++ b/tests/test_fleet_peers.py
@@ -1,4 +1,5 @@
 """Members, board and mail of a fleet on a virtual clock, what is checked of them and what the checks find."""
+
 from __future__ import annotations
 
 import random
@@ -26,6 +27,7 @@
 
 # ---- what holds, each as a scene that says what went wrong ----------------------------------------------
 
+
 def no_false_death(make=Peers, size: int = 12, seconds: float = 60.0) -> None:
     sim = fleet(size, make=make)
     sim.loss = 0.1
@@ -52,8 +54,14 @@
     for sides in ([set(names[:3]), set(names[3:6])], [set(names[::2])], []):
         since = sim.now
         sim.cut(sides)
-        assert sim.until(lambda: all(sim.state(a, b) is (State.DEAD if sim.apart(a, b) else State.ALIVE)
-                                     for a in names for b in names), HEALED), sides
+        assert sim.until(
+            lambda: all(
+                sim.state(a, b) is (State.DEAD if sim.apart(a, b) else State.ALIVE)
+                for a in names
+                for b in names
+            ),
+            HEALED,
+        ), sides
         sim.run(5.0)
         assert not [d for d in sim.deaths(since) if not sim.apart(*d[1:])]
 
@@ -61,8 +69,9 @@
 def who_stood_still_judges_nobody_by_it(make=Peers) -> None:
     sim = fleet(9, make=make)
     sim.cut([{"n0"}])
-    assert sim.until(lambda: any(r.suspicion is not None and r.suspicion.mine
-                                 for r in sim.nodes["n0"].table.there()), 5.0)
+    assert sim.until(
+        lambda: any(r.suspicion is not None and r.suspicion.mine for r in sim.nodes["n0"].table.there()), 5.0
+    )
     sim.pause("n0", 10.0)
     sim.cut([])
     sim.run(20.0)
@@ -127,12 +136,15 @@
 
 # ---- planted defects ------------------------------------------------------------------------------------
 
+
 def planted(change):
     """A machine with one thing about it changed."""
+
     def make(*args):
         peers = Peers(*args)
         change(peers)
         return peers
+
     return make
 
 
@@ -159,10 +171,12 @@
 
 def gullible(peers):
     """Takes whatever entry comes last."""
+
     def hear(now, told):
         if told.origin != peers.table.me.name:
             peers.board._keep(now, told)
             peers.board._changed(told.entry())
+
     peers.board.hear = hear
 
 
@@ -181,9 +195,16 @@
     peers._sync_period = lambda: 10.0 / len(peers.table)
 
 
-SCENES = [no_false_death, a_death_is_noticed_by_all, partitions_heal_into_any_shape,
-          who_stood_still_judges_nobody_by_it, entries_go_forward_and_reach_all, mail_comes_once,
-          of_two_of_one_name_the_younger_steps_back, traffic_is_flat]
+SCENES = [
+    no_false_death,
+    a_death_is_noticed_by_all,
+    partitions_heal_into_any_shape,
+    who_stood_still_judges_nobody_by_it,
+    entries_go_forward_and_reach_all,
+    mail_comes_once,
+    of_two_of_one_name_the_younger_steps_back,
+    traffic_is_flat,
+]
 DEFECTS = [hasty, patient, resigned, sleepy, gullible, twice, proud, chatty]
 
 
@@ -203,6 +224,7 @@
 
 # ---- more scenes ----------------------------------------------------------------------------------------
 
+
 @pytest.mark.parametrize("size", [3, 30, 100])
 def test_deaths_are_noticed_in_time_at_any_size(size):
     took = a_death_is_noticed_by_all(size=size)
@@ -219,8 +241,9 @@
     since, dead = sim.now, {f"n{number}" for number in range(6)}
     for name in dead:
         sim.kill(name)
-    assert sim.until(lambda: all(sim.state(name, other) is State.DEAD
-                                 for name in sim.nodes for other in dead), NOTICED + 2)
+    assert sim.until(
+        lambda: all(sim.state(name, other) is State.DEAD for name in sim.nodes for other in dead), NOTICED + 2
+    )
     assert {who for _, _, who in sim.deaths(since)} == dead
 
 
@@ -303,8 +326,11 @@
         node.table.merge(sim.now, type(news)(f"x{number}", 1, b"12345678", 0, 0, "10.0.0.9", 99))
     assert len(node.table) == 1100
     for record in list(node.table.there()):
-        node.table.adopt(sim.now, record, type(news)(record.news.name, 1 << 50, b"12345678", 0,
-                                                     int(State.DEAD), "10.0.0.9", 9))
+        node.table.adopt(
+            sim.now,
+            record,
+            type(news)(record.news.name, 1 << 50, b"12345678", 0, int(State.DEAD), "10.0.0.9", 9),
+        )
     assert len(node.table.gone) <= 1100 and len(node.table.members) == len(node.table.records) + 1
 
 
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -1,4 +1,5 @@
 """Real processes of a fleet, bare ones without fronts, on loopback."""
+
 from __future__ import annotations
 
 import json
@@ -50,7 +51,8 @@
             {more}''')
         with open(self.folder / f"{slot}.log", "ab") as log:
             self.running[slot] = subprocess.Popen(
-                [sys.executable, "-m", "aspenrill.fleet.peer", str(config)], stderr=log, stdout=log)
+                [sys.executable, "-m", "aspenrill.fleet.peer", str(config)], stderr=log, stdout=log
+            )
 
     def members(self, slot: str) -> dict[str, dict[str, Any]]:
         try:
@@ -123,8 +125,12 @@
     assert "DEAD" not in fleet.log("a") + fleet.log("b") and "member c" not in fleet.log("a")
     fleet.start("d", name="b")
     fleet.until(lambda: "fleet-name: " in fleet.log("d"))
-    fleet.until(lambda: fleet.states("a")["b"] == "ALIVE"
-                and fleet.members("a")["b"]["port"] == fleet.members("b")["b"]["port"])
+    fleet.until(
+        lambda: (
+            fleet.states("a")["b"] == "ALIVE"
+            and fleet.members("a")["b"]["port"] == fleet.members("b")["b"]["port"]
+        )
+    )
     fleet.write_keys("keys", ["no key"])
     fleet.running["a"].send_signal(signal.SIGHUP)
     fleet.until(lambda: "configuration not taken, the old one stays: fleet-key" in fleet.log("a"))
--- a/tests/test_fleet_service.py
+++ b/tests/test_fleet_service.py
@@ -1,4 +1,5 @@
 """The fleet's service on the hub: effects in order, what parts are told, keys, names, front ends in it."""
+
 from __future__ import annotations
 
 import errno
@@ -38,6 +39,7 @@
             self.told.append((call, *args))
             answer = self.answers.get(call, [])
             return answer(*args) if callable(answer) else answer
+
         told.__name__ = call
         return told
 
@@ -61,8 +63,14 @@
 
     def table(self, name: str, **more) -> dict:
         seeds = ["{}:{}".format(*self.services[0].address)] if self.services else []
-        return {"enabled": True, "name": name, "key_file": str(self.folder / "keys"),
-                "state": str(self.folder / name), "seeds": seeds, **more}
+        return {
+            "enabled": True,
+            "name": name,
+            "key_file": str(self.folder / "keys"),
+            "state": str(self.folder / name),
+            "seeds": seeds,
+            **more,
+        }
 
     def config(self, name: str, **more) -> config.Config:
         found = config.read(config.Reader(self.table(name, **more), "", []))
@@ -90,6 +98,7 @@
             except BaseException as why:
                 failure.append(why)
             self.hub.stop()
+
         self.hub.spawn(play)
         self.hub.run()
         for service in self.services:
@@ -127,6 +136,7 @@
         world.services[0] = world.service("a", again)
         assert again.of("on_start")[0][1] == {"k": b"v"}
         assert world.services[0].view.incarnation > one.view.incarnation
+
     world.run(scene)
 
 
@@ -143,6 +153,7 @@
 
     def refuse(*args):
         raise DiskTrouble("full")
+
     world.run(scene)
 
 
@@ -152,9 +163,14 @@
 
     def scene():
         follower = Part("follower")
-        world.service("a", Part("authority", on_start=[Inform(record), Inform(other)]), follower,
-                      inform=lambda *fact: facts.append(fact))
+        world.service(
+            "a",
+            Part("authority", on_start=[Inform(record), Inform(other)]),
+            follower,
+            inform=lambda *fact: facts.append(fact),
+        )
         assert follower.of("on_agreed") == [[record]] and not facts
+
     world.run(scene)
 
 
@@ -169,6 +185,7 @@
         service.parts[1].answers.clear()
         world.hub.sleep(0.2)
         world.lines[:] = [line for line in world.lines if "ZeroDivision" not in line and "601" not in line]
+
     world.run(scene)
 
 
@@ -194,6 +211,7 @@
             a.reload(world.config("a"))
         with pytest.raises(FleetConfigTrouble):
             a.reload(world.config("d"))
+
     world.run(scene)
 
 
@@ -211,6 +229,7 @@
         assert not elder.fenced and len(part.of("on_tick")) == ticks
         assert any(line.startswith("fleet-name: ") and "has the name a too" in line for line in world.lines)
         world.until(lambda: world.services[0].view.members()["a"].port == elder.address[1])
+
     world.run(scene)
 
 
@@ -223,6 +242,7 @@
         with pytest.raises(FleetConfigTrouble, match="another process"):
             Durable(world.folder / "a")
         Durable(world.folder / "b").close()  # the one that could not listen holds nothing
+
     world.run(scene)
 
 
@@ -239,20 +259,24 @@
 
 # ---- front ends -----------------------------------------------------------------------------------------
 
+
 @pytest.mark.parametrize("may", [True, False])
 def test_modules_tell_each_other_where_they_may(world, may):
     def node() -> SimpleNamespace:
         heard = []
         settings = SimpleNamespace(classes=(), may_tell=may)
-        return SimpleNamespace(settings=settings, post=heard.append, heard=heard,
-                               owner=SimpleNamespace(tell=lambda data: None))
+        return SimpleNamespace(
+            settings=settings, post=heard.append, heard=heard, owner=SimpleNamespace(tell=lambda data: None)
+        )
 
     def scene():
         world.service("c")
         first, second = node(), node()
         tables = [world.table("b"), world.table("a")]
-        again = [joining.join(world.hub, one, lambda table=table: table, "fleet.")
-                 for one, table in zip((first, second), tables, strict=True)]
+        again = [
+            joining.join(world.hub, one, lambda table=table: table, "fleet.")
+            for one, table in zip((first, second), tables, strict=True)
+        ]
         first.owner.tell(b"news of b")
         if may:
             world.until(lambda: second.heard)
@@ -269,6 +293,7 @@
             again[0]()
         for one in (first, second):
             one.goodbye()
+
     world.run(scene)
 
 
@@ -276,8 +301,9 @@
     from aspenrill import api
     from aspenrill.core.owner import Owner
 
-    settings = api.Settings(classes=(api.QueryClass(1.0, 5.0, api.Effect.SAFE),), cores_by_kind=(8,),
-                            may_tell=True)
+    settings = api.Settings(
+        classes=(api.QueryClass(1.0, 5.0, api.Effect.SAFE),), cores_by_kind=(8,), may_tell=True
+    )
     owner, told, heard = Owner(Hub(), settings, 1, SimpleNamespace()), [], []
     owner._act(api.Tell(b"nobody there"), 0.0)
     owner.tell = told.append
@@ -288,8 +314,10 @@
 
 
 def test_a_platform_node_imports_nothing_of_it():
-    code = ("import sys; from aspenrill import start, node; print(node._fleet(None, None, node.FLEET_FILE)); "
-            "print([m for m in sys.modules if 'aspenrill.fleet' in m or m in ('msgspec', 'sqlite3')])")
+    code = (
+        "import sys; from aspenrill import start, node; print(node._fleet(None, None, node.FLEET_FILE)); "
+        "print([m for m in sys.modules if 'aspenrill.fleet' in m or m in ('msgspec', 'sqlite3')])"
+    )
     out = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout
     assert out.splitlines()[1] == "[]" and "lambda" in out  # what it gives does nothing
     assert config.read_file("deploy/fleet.toml").voters == ("front-1", "front-2", "front-3")
--- a/tests/test_fleet_wire.py
+++ b/tests/test_fleet_wire.py
@@ -1,4 +1,5 @@
 """What goes over the wire between processes of a fleet: tags, keys, repeats, sizes, streams. No sockets."""
+
 from __future__ import annotations
 
 import random
@@ -26,8 +27,18 @@
 
 
 def news(name: str = "b", state: State = State.ALIVE, **more) -> wire.News:
-    return wire.News(**{"name": name, "incarnation": 5, "life": b"m" * 8, "claim": 0, "state": int(state),
-                        "host": "10.0.0.2", "port": 80, **more})
+    return wire.News(
+        **{
+            "name": name,
+            "incarnation": 5,
+            "life": b"m" * 8,
+            "claim": 0,
+            "state": int(state),
+            "host": "10.0.0.2",
+            "port": 80,
+            **more,
+        }
+    )
 
 
 def datagram(keys: Keys, message=None, *pieces: wire.News, count: int = 1, to: bytes = LIFE) -> bytes:
@@ -47,7 +58,7 @@
     assert (packet.sender, packet.life, packet.message.body) == ("a", LIFE, b"x" * 900)
     assert packet.news == [news()] and len(data) <= wire.MOST_DATAGRAM
     for at in range(len(data)):
-        spoilt = data[:at] + bytes([data[at] ^ 1]) + data[at + 1:]
+        spoilt = data[:at] + bytes([data[at] ^ 1]) + data[at + 1 :]
         assert refused(keys, spoilt) in ("version", "key", "tag")
         assert refused(keys, data[:at]) in ("cut", "tag")
     assert refused(keys, data + b"x" * 1200) == "too large"
@@ -57,12 +68,33 @@
 
 def test_the_largest_mail_goes_with_whatever_else_there_is_to_tell():
     long = "x" * 48
-    peers = Peers(Self(long, 1 << 61, LIFE, ("1234:5678:9abc:def0:1234:5678:9abc:def0", 65535),
-                       Place("s" * 32, "b" * 32, "h" * 32)), Keys("f", [OLD]), Pace(), random.Random(1), 0.0)
+    peers = Peers(
+        Self(
+            long,
+            1 << 61,
+            LIFE,
+            ("1234:5678:9abc:def0:1234:5678:9abc:def0", 65535),
+            Place("s" * 32, "b" * 32, "h" * 32),
+        ),
+        Keys("f", [OLD]),
+        Pace(),
+        random.Random(1),
+        0.0,
+    )
     for number, state in enumerate((State.SUSPECT, State.ALIVE)):
         name = f"{number}" * 48
-        peers.table.merge(0.0, news(name, state, incarnation=1 << 61, accuser=long, site="s" * 32,
-                                    building="b" * 32, hall="h" * 32))
+        peers.table.merge(
+            0.0,
+            news(
+                name,
+                state,
+                incarnation=1 << 61,
+                accuser=long,
+                site="s" * 32,
+                building="b" * 32,
+                hall="h" * 32,
+            ),
+        )
         peers.put(0.0, "t" * 32, b"v" * 600)
         assert peers.post(0.0, name, "p" * 32, b"b" * 900)
         peers.detector.tick(1.0)
@@ -76,9 +108,20 @@
     assert refused(other, datagram(one)) == "tag"
 
 
-@pytest.mark.parametrize("spoilt", [
-    news(state=7), news(port=0), news(host="engine.example"), news(life=b"x"), news(name="x" * 49),
-    news(incarnation=-1), news(site="s" * 33), "text", 7])
+@pytest.mark.parametrize(
+    "spoilt",
+    [
+        news(state=7),
+        news(port=0),
+        news(host="engine.example"),
+        news(life=b"x"),
+        news(name="x" * 49),
+        news(incarnation=-1),
+        news(site="s" * 33),
+        "text",
+        7,
+    ],
+)
 def test_forms_that_are_none(spoilt):
     keys = Keys("f", [OLD])
     assert refused(keys, datagram(keys, None, spoilt)) == "form"
@@ -160,6 +203,7 @@
 
 # ---- streams ----------------------------------------------------------------------------------------------
 
+
 def machine(name: str, port: int, keys: Keys | None = None) -> Peers:
     me = Self(name, 10 + port, name.encode() * 8, ("10.0.0.1", port), Place("s"))
     return Peers(me, keys or Keys("f", [OLD]), Pace(), random.Random(port), 0.0)
@@ -226,10 +270,19 @@
 
 # ---- files ------------------------------------------------------------------------------------------------
 
-@pytest.mark.parametrize("text, mode, why", [
-    ("ab" * 32, 0o644, "by others"), ("", 0o600, "0 keys"), ("xy" * 32, 0o600, "not hex"),
-    ("ab" * 31, 0o600, "less than"), ("\n".join(["ab" * 32, "cd" * 32, "ef" * 32]), 0o600, "3 keys"),
-    ("ab" * 32 + "\n" + "ab" * 32, 0o600, "twice"), ("ä" * 64, 0o600, "not hex")])
+
+@pytest.mark.parametrize(
+    "text, mode, why",
+    [
+        ("ab" * 32, 0o644, "by others"),
+        ("", 0o600, "0 keys"),
+        ("xy" * 32, 0o600, "not hex"),
+        ("ab" * 31, 0o600, "less than"),
+        ("\n".join(["ab" * 32, "cd" * 32, "ef" * 32]), 0o600, "3 keys"),
+        ("ab" * 32 + "\n" + "ab" * 32, 0o600, "twice"),
+        ("ä" * 64, 0o600, "not hex"),
+    ],
+)
 def test_key_files_that_cannot_be_used(tmp_path, text, mode, why):
     path = tmp_path / "keys"
     path.write_text(text)
@@ -291,12 +344,21 @@
 GOOD = 'name = "a"\nkey_file = "k"\nstate = "s"\n'
 
 
-@pytest.mark.parametrize("more, fault", [
-    ("nmae = 1", "nmae: no such field"), ("seeds = ['x']", "seeds[0]"), ("place = 'a/b/c/d'", "place"),
-    ("voters = ['a', 'a']", "voters[1]"), ("alone = 2", "alone"),
-    ("[times]\nperiod_ms = 1", "times.period_ms"),
-    ("[times]\nsuspect_least_ms = 5000", "times.suspect_least_ms"), ("listen = '0.0.0.0:1'", "advertise"),
-    ("fleet = 'ä'", "fleet"), ("overload = 1", "overload")])
+@pytest.mark.parametrize(
+    "more, fault",
+    [
+        ("nmae = 1", "nmae: no such field"),
+        ("seeds = ['x']", "seeds[0]"),
+        ("place = 'a/b/c/d'", "place"),
+        ("voters = ['a', 'a']", "voters[1]"),
+        ("alone = 2", "alone"),
+        ("[times]\nperiod_ms = 1", "times.period_ms"),
+        ("[times]\nsuspect_least_ms = 5000", "times.suspect_least_ms"),
+        ("listen = '0.0.0.0:1'", "advertise"),
+        ("fleet = 'ä'", "fleet"),
+        ("overload = 1", "overload"),
+    ],
+)
 def test_each_fault_of_a_configuration_by_its_field(more, fault):
     with pytest.raises(FleetConfigTrouble) as why:
         config.read_text(GOOD + more)
--- a/tests/test_fronts.py
+++ b/tests/test_fronts.py
@@ -1,4 +1,5 @@
 """What each front says to bad input, and the hard cases of each."""
+
 from __future__ import annotations
 
 import socket
@@ -19,9 +20,22 @@
 LONG = [(str(i), "y" * 200, "end") for i in range(2000)]
 
 
-@pytest.mark.parametrize("changed", [
-    {"kind": "nope"}, {"kind": None}, {"owner": "nobody"}, {"owner": None}, {"timeout": "soon"},
-    {"timeout": None}, {"timeout": "-1"}, {"req": "xyz"}, {"req": None}, {"opkey": "a\nb"}, {"opkey": None}])
+@pytest.mark.parametrize(
+    "changed",
+    [
+        {"kind": "nope"},
+        {"kind": None},
+        {"owner": "nobody"},
+        {"owner": None},
+        {"timeout": "soon"},
+        {"timeout": None},
+        {"timeout": "-1"},
+        {"req": "xyz"},
+        {"req": None},
+        {"opkey": "a\nb"},
+        {"opkey": None},
+    ],
+)
 def test_a_field_that_cannot_be_used_fails_the_request(changed):
     # and no engine ever sees it: there it would break a rule of the platform
     world = World("thrift", 1)
@@ -31,6 +45,7 @@
         assert client.ask("insert 1", **changed).kind == "failed"
         assert not world.engines[0].began
         assert client.ask("insert 1").kind == "served"
+
     world.run(play)
 
 
@@ -43,15 +58,21 @@
         client.send("select 1", req="0123456789abcdef")
         client.send("select 1", req="0123456789abcdef")
         assert client.read(5).kind == "failed" and client.read(5).kind == "served"
+
     world.run(play)
 
 
-@pytest.mark.parametrize("frame, kind", [
-    (thrift.frame(thrift.CALL, "serve", 1, b"\x0b\0\1\x7f\xff\xff\xff"), thrift.PROTOCOL),
-    (thrift.frame(thrift.CALL, "drop", 1, b""), thrift.UNKNOWN_METHOD),
-    (thrift.frame(thrift.REPLY, "serve", 1, b""), thrift.PROTOCOL),
-    (struct.pack(">i", 1 << 30), None), (struct.pack(">i", -5), None),
-    (struct.pack(">i", 4) + b"GET ", None)])
+@pytest.mark.parametrize(
+    "frame, kind",
+    [
+        (thrift.frame(thrift.CALL, "serve", 1, b"\x0b\0\1\x7f\xff\xff\xff"), thrift.PROTOCOL),
+        (thrift.frame(thrift.CALL, "drop", 1, b""), thrift.UNKNOWN_METHOD),
+        (thrift.frame(thrift.REPLY, "serve", 1, b""), thrift.PROTOCOL),
+        (struct.pack(">i", 1 << 30), None),
+        (struct.pack(">i", -5), None),
+        (struct.pack(">i", 4) + b"GET ", None),
+    ],
+)
 def test_malformed_thrift_gets_an_application_exception_or_a_close(frame, kind):
     world = World("thrift", 1)
 
@@ -66,6 +87,7 @@
             reply = thrift.read_message(conn.read(int.from_bytes(conn.read(4, until), "big"), until))
             assert (reply.kind, reply.args[2]) == (thrift.EXCEPTION, kind)
         assert world.client().ask("select 1").kind == "served" and len(world.engines[0].began) == 1
+
     world.run(play)
 
 
@@ -78,6 +100,7 @@
         for i in range(32):
             client.send(f"select {i}")
         assert [client.read(5).kind for _ in range(32)] == ["served"] * 32
+
     world.run(play)
 
 
@@ -102,6 +125,7 @@
             pass
         assert usual.ask("select 1").kind == "served" and count[0] < 1000
         world.until(lambda: count[0] > 3000)
+
     world.run(play)
 
 
@@ -115,6 +139,7 @@
             for _ in range(100):
                 assert client.ask("select 1", kind="nope").kind == "failed"
         assert world.client().ask("select 1").kind == "served" and len(world.engines[0].began) == 1
+
     world.run(play)
 
 
@@ -123,8 +148,9 @@
 
     def ask() -> bool:
         conn = connect(world.hub, world.address, time.monotonic() + 2)
-        conn.write(thrift.frame(thrift.CALL, "isWell", 1, thrift.field(thrift.BOOL, 1, b"\0")),
-                   time.monotonic() + 2)
+        conn.write(
+            thrift.frame(thrift.CALL, "isWell", 1, thrift.field(thrift.BOOL, 1, b"\0")), time.monotonic() + 2
+        )
         until = time.monotonic() + 5
         return thrift.read_message(conn.read(int.from_bytes(conn.read(4, until), "big"), until)).args[0][3]
 
@@ -132,6 +158,7 @@
         assert ask() is True
         world.node.owner.well = False
         assert ask() is False
+
     world.run(play)
 
 
@@ -150,6 +177,7 @@
         assert second.ask("select 1").kind == "served"
         assert any("AttributeError" in text for text in world.logged)
         world.logged.clear()
+
     world.run(play)
 
 
@@ -170,11 +198,13 @@
         assert world.client("lookup").ask("select 1").kind == "served"
         assert any("RuntimeError" in text for text in world.logged)
         world.logged.clear()
+
     world.run(play)
 
 
 # ---- TDS ----------------------------------------------------------------------------------------------
 
+
 def test_attention_halfway_through_an_answer_is_acknowledged_once():
     # the answer ends behind a whole row, with one acknowledgement and nothing after it
     world = World("tds", 1)
@@ -193,6 +223,7 @@
         with pytest.raises(TimedOut):
             client.conn.fill(time.monotonic() + 0.3)
         assert client.ask("select 1") == Reply("served", ROWS)
+
     world.run(play)
 
 
@@ -205,6 +236,7 @@
         client.cancel()
         assert client.read(5).kind == "cancelled"
         assert client.ask("select 1").kind == "served"
+
     world.run(play)
 
 
@@ -216,11 +248,12 @@
         client = world.client()
         message = tds.packets(tds.SQL_BATCH, tds.sql_batch("select 1 from sales_4.x" + " " * 400), 512)
         for at in range(0, len(message), size):
-            client.conn.write(message[at:at + size], time.monotonic() + 5)
+            client.conn.write(message[at : at + size], time.monotonic() + 5)
             if size > 1:
                 world.hub.sleep(0.002)
         assert client.read(5).kind == "served"
         assert world.engines[0].statements[0].startswith("select 1 from sales_4.x")
+
     world.run(play)
 
 
@@ -234,12 +267,18 @@
         assert client.read(5).kind == "broken"
         assert not world.engines[0].began
         assert client.ask("select 1").kind == "served"
+
     world.run(play)
 
 
-@pytest.mark.parametrize("data", [
-    struct.pack(">BBHHBB", tds.SQL_BATCH, 1, 3, 0, 1, 0), tds.packets(tds.SQL_BATCH, b"\xff" * 10),
-    tds.packets(tds.SQL_BATCH, tds.sql_batch("x" * 600_000))])
+@pytest.mark.parametrize(
+    "data",
+    [
+        struct.pack(">BBHHBB", tds.SQL_BATCH, 1, 3, 0, 1, 0),
+        tds.packets(tds.SQL_BATCH, b"\xff" * 10),
+        tds.packets(tds.SQL_BATCH, tds.sql_batch("x" * 600_000)),
+    ],
+)
 def test_broken_or_oversized_tds_gets_an_error_and_a_close(data):
     world = World("tds", 1)
 
@@ -254,6 +293,7 @@
             client.conn.fill(time.monotonic() + 5)
             client.conn.fill(time.monotonic() + 5)
         assert not world.engines[0].began
+
     world.run(play)
 
 
@@ -270,22 +310,30 @@
         assert reader.answer.error[0] == 18456 and reader.answer.status & tds.BAD
         with pytest.raises(Closed):
             conn.fill(until)
+
     world.run(play)
 
 
 def test_a_client_library_gets_along_with_the_front():
     # python-tds is somebody else's reading of the specification
     world = World("tds", 1)
-    code = ("import pytds,sys\n"
-            "c=pytds.connect('127.0.0.1',port=int(sys.argv[1]),user='lookup',password='x',appname='lib',"
-            "autocommit=True,login_timeout=5,timeout=5)\n"
-            "k=c.cursor()\nk.execute('select 1 from sales_1.x')\nprint(k.fetchall())\n")
+    code = (
+        "import pytds,sys\n"
+        "c=pytds.connect('127.0.0.1',port=int(sys.argv[1]),user='lookup',password='x',appname='lib',"
+        "autocommit=True,login_timeout=5,timeout=5)\n"
+        "k=c.cursor()\nk.execute('select 1 from sales_1.x')\nprint(k.fetchall())\n"
+    )
 
     def play():
         world.engines[0].act = lambda s: Act() if "sales_1" in s else Act(rows=[])
-        child = subprocess.Popen([sys.executable, "-c", code, str(world.address[1])], stdout=subprocess.PIPE,
-                                 stderr=subprocess.STDOUT, text=True)
+        child = subprocess.Popen(
+            [sys.executable, "-c", code, str(world.address[1])],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            text=True,
+        )
         world.until(lambda: child.poll() is not None, 20)
         out = child.stdout.read()
         assert "('1', 'sheets', 'ok')" in out, out
+
     world.run(play)
--- a/tests/test_groups_counts.py
+++ b/tests/test_groups_counts.py
@@ -1,4 +1,5 @@
 """Counters merge to the same in any order, count once, and what is missing is never zero."""
+
 from __future__ import annotations
 
 import random
@@ -15,9 +16,19 @@
 from standins.groups import FIRST, Scene
 
 H = 1000
-cells = st.lists(st.builds(Cell, st.sampled_from("abc"), st.integers(1, 2), st.integers(0, 2),
-                           st.integers(H - 2, H), st.integers(0, 9), st.integers(0, 9), st.integers(0, 9)),
-                 max_size=12)
+cells = st.lists(
+    st.builds(
+        Cell,
+        st.sampled_from("abc"),
+        st.integers(1, 2),
+        st.integers(0, 2),
+        st.integers(H - 2, H),
+        st.integers(0, 9),
+        st.integers(0, 9),
+        st.integers(0, 9),
+    ),
+    max_size=12,
+)
 
 
 def totals(book: Counts) -> dict:
@@ -165,8 +176,8 @@
     for _ in range(2000):
         body = bytearray(good)
         body[rng.randrange(len(body))] = rng.randrange(256)
-        groups.on_message(scene.world.procs["p00"].clock(), "p01", 1, bytes(body[:rng.randrange(len(body))]))
-    for cell in ((-2, FIRST, 1), (7, -1, 1), (7, FIRST, -1), (7, FIRST, 2 ** 60), (7, "x", 1)):
+        groups.on_message(scene.world.procs["p00"].clock(), "p01", 1, bytes(body[: rng.randrange(len(body))]))
+    for cell in ((-2, FIRST, 1), (7, -1, 1), (7, FIRST, -1), (7, FIRST, 2**60), (7, "x", 1)):
         body = pack([1, 1, [["x", 1, cell[0], cell[1], 1, cell[2], 1]]])
         assert groups.on_message(0.0, "p01", 1, body) == []
     assert totals(groups.counts) == before
@@ -185,6 +196,7 @@
             for hour in [h for h in list(book.hours)[-4:] if h > FIRST and book.heard(h)]:
                 told = book.hours[hour].totals().get(17, module.NONE)[1]
                 assert told == scene.written.get((hour, 17), 0), hour
+
     scene.world.checks.append(exact)
     scene.world.play(schedule(seed, scene.world.names, 100.0, ("part", "cut", "weather", "pause"), gap=3.0))
     scene.world.run(160.0)
--- a/tests/test_groups_forecast.py
+++ b/tests/test_groups_forecast.py
@@ -1,4 +1,5 @@
 """Forecasts against statsmodels, baselines and what must hold of them; the schedule's hysteresis."""
+
 from __future__ import annotations
 
 import math
@@ -23,8 +24,14 @@
 def hours(days: int, seed: int = 1, level=lambda d: 1 + d / 30) -> list[float]:
     """Growth with both seasons and a little noise."""
     rng = random.Random(seed)
-    return [1e6 * level(h / DAY) * WEEK[h // DAY % 7] * (1 + 0.7 * math.sin(h * math.pi / 12))
-            * rng.lognormvariate(0, 0.1) for h in range(days * DAY)]
+    return [
+        1e6
+        * level(h / DAY)
+        * WEEK[h // DAY % 7]
+        * (1 + 0.7 * math.sin(h * math.pi / 12))
+        * rng.lognormvariate(0, 0.1)
+        for h in range(days * DAY)
+    ]
 
 
 def week(series, seed=1, **more) -> tuple[float, float, float]:
@@ -37,8 +44,15 @@
 def test_smoothing_is_that_of_the_oracle(alpha, beta, damping):
     rng = random.Random(2)
     days = [100 + 2 * d + rng.gauss(0, 8) for d in range(40)]
-    oracle = ETSModel(numpy.array(days), error="add", trend="add", damped_trend=True,
-                      initialization_method="known", initial_level=100.0, initial_trend=0.0)
+    oracle = ETSModel(
+        numpy.array(days),
+        error="add",
+        trend="add",
+        damped_trend=True,
+        initialization_method="known",
+        initial_level=100.0,
+        initial_trend=0.0,
+    )
     theirs = oracle.smooth([alpha, beta, damping])
     ours = smooth(days, 100.0, 0.0, [1.0] * 7, alpha, beta, damping)
     assert numpy.allclose(ours.fitted, theirs.fittedvalues, rtol=1e-9)
@@ -48,10 +62,13 @@
 @pytest.mark.parametrize("seed", range(4))
 def test_forecasts_are_near_those_of_the_oracle(seed):
     series = hours(42, seed)
-    days = [sum(series[d * DAY:(d + 1) * DAY]) for d in range(42)]
-    theirs = sum(ExponentialSmoothing(days, trend="add", damped_trend=True, seasonal="mul",
-                                      seasonal_periods=7).fit().forecast(7))
-    truth = sum(hours(49, seed)[-7 * DAY:])
+    days = [sum(series[d * DAY : (d + 1) * DAY]) for d in range(42)]
+    theirs = sum(
+        ExponentialSmoothing(days, trend="add", damped_trend=True, seasonal="mul", seasonal_periods=7)
+        .fit()
+        .forecast(7)
+    )
+    truth = sum(hours(49, seed)[-7 * DAY :])
     mid = week(series)[1]
     assert abs(mid / theirs - 1) < 0.1 and abs(mid / truth - 1) < 0.1
     assert numpy.allclose(seasons(days), numpy.array(WEEK) / numpy.mean(WEEK), rtol=0.12)
@@ -69,8 +86,11 @@
     check_gaps()
     real = module.forecast
     monkeypatch.setattr(module, "forecast", None)
-    monkeypatch.setitem(globals(), "forecast",
-                        lambda first, series, rng, rules: real(first, [v or 0.0 for v in series], rng, rules))
+    monkeypatch.setitem(
+        globals(),
+        "forecast",
+        lambda first, series, rng, rules: real(first, [v or 0.0 for v in series], rng, rules),
+    )
     with pytest.raises(AssertionError):
         check_gaps()
 
@@ -82,7 +102,7 @@
     assert last_change([v * 2 if 9 <= n < 20 else v for n, v in enumerate(flat)], 3) == 20
     assert last_change([100.0 + 3 * n for n in range(40)], 3) == 0  # growth is none
     after = hours(30, level=lambda d: 1.0 if d < 24 else 2.5)
-    assert abs(week(after)[1] / sum(hours(37, level=lambda d: 2.5)[-7 * DAY:]) - 1) < 0.2
+    assert abs(week(after)[1] / sum(hours(37, level=lambda d: 2.5)[-7 * DAY :]) - 1) < 0.2
 
 
 def test_a_forecast_is_a_function_of_its_series_and_seed():
--- a/tests/test_groups_splits.py
+++ b/tests/test_groups_splits.py
@@ -1,4 +1,5 @@
 """Splits happen once or not at all: many processes and seeds, a state machine, and planted defects."""
+
 from __future__ import annotations
 
 import random
@@ -37,8 +38,11 @@
         scene.storm, scene.outage = rng.random() < 0.2, rng.random() < 0.1
         for split in list(scene.ledger.splits):
             if rng.random() < 0.2:
-                scene.world.do(rng.choice(scene.world.names), lambda proc, split=split: proc.part(
-                    "groups").call_off(proc.clock(), split), "groups")
+                scene.world.do(
+                    rng.choice(scene.world.names),
+                    lambda proc, split=split: proc.part("groups").call_off(proc.clock(), split),
+                    "groups",
+                )
         scene.world.run(seconds / 5)
     scene.finish()
     return scene
@@ -88,6 +92,7 @@
 
 # ---- planted defects ----------------------------------------------------------------------------------
 
+
 class Changed(Groups):
     """Groups whose splits are of another class."""
 
@@ -162,12 +167,21 @@
             told = self.counts.hours.get(hour, counts.HourBook()).told.get(origin, counts.Told())
             old = told.groups.get(group, counts.NONE) if origin != self.counts.me else counts.NONE
             return put(origin, group, hour, counts.plus(old, value))
+
         self.counts._put = added
         return effects
 
 
-DEFECTS = [BeforeAgreed, RepeatsWithEffect, IgnoresTheMap, PlansInMinority, DropsAfterTheSwitch,
-           TwoVersionsAtOnce, AllAtOnce, SaysTwoThings]
+DEFECTS = [
+    BeforeAgreed,
+    RepeatsWithEffect,
+    IgnoresTheMap,
+    PlansInMinority,
+    DropsAfterTheSwitch,
+    TwoVersionsAtOnce,
+    AllAtOnce,
+    SaysTwoThings,
+]
 
 
 @pytest.mark.parametrize("defect", [*DEFECTS, DoubleCount])
@@ -182,6 +196,7 @@
 
 # ---- the steps alone, against a log that loses, repeats and comes late ----------------------------------
 
+
 class Steps(RuleBasedStateMachine):
     """Two who may coordinate, one after the other, and one log."""
 
@@ -206,13 +221,15 @@
                 assert machine.who == number
                 machine.waiting.append((kind, key, body))
                 return []
+
         rules = SplitRules(notice=1, warm=1, spread=1, again=2, rest=5, forget=1e9)
         node = Splits(rules, Mine(), Router(ENGINES))
         node.tell(0.0, Facts(False, False, ENGINES))
         return node
 
-    @rule(seconds=st.sampled_from([0.5, 1.5, 3.0]), off=st.booleans(), storm_=st.booleans(),
-          late=st.booleans())
+    @rule(
+        seconds=st.sampled_from([0.5, 1.5, 3.0]), off=st.booleans(), storm_=st.booleans(), late=st.booleans()
+    )
     def tick(self, seconds, off, storm_, late):
         self.now += seconds
         self.hour += late
@@ -225,8 +242,19 @@
         node = self.nodes[self.who]
         if node.acts(self.now) and node.free(group, self.now):
             was = node.map.parts(group)
-            node.propose(self.now, Split(f"{group}/{self.hour}/{node.map.version}", group, was, was * 2,
-                                         Step.PROPOSED, self.hour, self.hour + 9, (f"e{group}",)))
+            node.propose(
+                self.now,
+                Split(
+                    f"{group}/{self.hour}/{node.map.version}",
+                    group,
+                    was,
+                    was * 2,
+                    Step.PROPOSED,
+                    self.hour,
+                    self.hour + 9,
+                    (f"e{group}",),
+                ),
+            )
 
     @precondition(lambda self: self.waiting)
     @rule()
@@ -236,7 +264,7 @@
     @rule(late=st.booleans())
     def hear(self, late):
         for number, node in enumerate(self.nodes):
-            new = self.ledger.log[self.given[number]:]
+            new = self.ledger.log[self.given[number] :]
             last = {(r.kind, r.key): r.number for r in new}
             for record in new:
                 if not late or last[record.kind, record.key] == record.number:
@@ -260,12 +288,17 @@
 
 
 def test_steps_under_any_order_of_events():
-    run_state_machine_as_test(Steps, settings=settings(
-        max_examples=120, stateful_step_count=40, derandomize=True, deadline=None, database=None))
+    run_state_machine_as_test(
+        Steps,
+        settings=settings(
+            max_examples=120, stateful_step_count=40, derandomize=True, deadline=None, database=None
+        ),
+    )
 
 
 # ---- routes and the owner's file ------------------------------------------------------------------------
 
+
 def test_a_group_never_split_is_at_home_where_it_is_without_the_fleet():
     fleet = Fleet((8,), ())
     fleet.apply(ListUpdate(ListMode.COMPLETE, tuple(EngineEntry(e, EngineState.LIVE) for e in ENGINES)), 0.0)
@@ -295,6 +328,7 @@
 
     def full(_):
         raise OSError(28, "No space left on device")
+
     monkeypatch.setattr(whole.os, "fsync", full)
     with pytest.raises(DiskTrouble, match="No space left"):
         owner_file.write(path, second)
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -1,4 +1,5 @@
 """How long a query may go unasked, and what answers of engines prove."""
+
 from __future__ import annotations
 
 import time
@@ -42,10 +43,17 @@
     return found[0] if found else 0.0
 
 
-@pytest.mark.parametrize("state, share, ran, least, most", [
-    (None, 0.5, 1.0, 0.45, 0.55), (None, 0.01, 1.0, PAUSE_MOST, PAUSE_MOST), (None, 0.99, 1.0, 0, 0),
-    ((0.2, 0.0), 0.2, 5.0, 0.35, 0.45),  # stood still for long: only what it did since counts
-    ((0.2, 0.4), 0.6, 5.0, 0.15, 0.25), ((0.2, 0.5), 0.5, 5.0, 0, 0)])
+@pytest.mark.parametrize(
+    "state, share, ran, least, most",
+    [
+        (None, 0.5, 1.0, 0.45, 0.55),
+        (None, 0.01, 1.0, PAUSE_MOST, PAUSE_MOST),
+        (None, 0.99, 1.0, 0, 0),
+        ((0.2, 0.0), 0.2, 5.0, 0.35, 0.45),  # stood still for long: only what it did since counts
+        ((0.2, 0.4), 0.6, 5.0, 0.15, 0.25),
+        ((0.2, 0.5), 0.5, 5.0, 0, 0),
+    ],
+)
 def test_a_query_is_left_unasked_for_a_part_of_what_its_pace_leaves(state, share, ran, least, most):
     # one that had waited for a load was taken for a slow one, and its end was seen up to a second late
     assert least - 0.01 <= paused(state, share, ran) <= most + 0.01 < 1.5
@@ -56,18 +64,33 @@
     assert paused(None, 0.1, 1.0, is_load=True) <= 0.1
 
 
-@pytest.mark.parametrize("status, fields, outcome", [
-    (503, {"x-shed": "1"}, api.Outcome.FULL), (503, {}, api.Outcome.ERROR), (500, {}, api.Outcome.ERROR),
-    (504, {"x-shed": "1"}, api.Outcome.MOOT), (504, {}, api.Outcome.TIMEOUT),
-    (500, {"x-shed": "1"}, api.Outcome.ERROR)])
+@pytest.mark.parametrize(
+    "status, fields, outcome",
+    [
+        (503, {"x-shed": "1"}, api.Outcome.FULL),
+        (503, {}, api.Outcome.ERROR),
+        (500, {}, api.Outcome.ERROR),
+        (504, {"x-shed": "1"}, api.Outcome.MOOT),
+        (504, {}, api.Outcome.TIMEOUT),
+        (500, {"x-shed": "1"}, api.Outcome.ERROR),
+    ],
+)
 def test_only_a_marked_refusal_proves_that_nothing_ran(status, fields, outcome):
     engines = HttpEngines(Hub(lambda text: None), Pools(), SETTINGS, CLASSES, print)
     assert engines._refusal(http1.Head(status, fields)) is outcome
 
 
-@pytest.mark.parametrize("text, told", [
-    ("load_share:0.5;depth:3", (0.5, 3.0)), ("util:0.5", (0.5, 0.0)), ("", None), (None, None),
-    ("util:x", None), ("other:1", None)])
+@pytest.mark.parametrize(
+    "text, told",
+    [
+        ("load_share:0.5;depth:3", (0.5, 3.0)),
+        ("util:0.5", (0.5, 0.0)),
+        ("", None),
+        (None, None),
+        ("util:x", None),
+        ("other:1", None),
+    ],
+)
 def test_load_reports(text, told):
     assert meter(text, ("util", "queue")) == told
 
@@ -104,13 +127,19 @@
 MANY = [(str(i), "x" * 40, "end") for i in range(200)]
 
 
-@pytest.mark.parametrize("spoil", [
-    lambda answer: b"\0\xff noise " * 20 + b"\r\n\r\n",
-    lambda answer: b"HTTP/1.1 200 X\r\nX-A: " + b"a" * 40000,
-    lambda answer: answer.replace(b"Content-Length: ", b"Content-Length: 3"),
-    lambda answer: answer.replace(b"Content-Length: ", b"Content-Length: 999999"),
-    lambda answer: answer[:len(answer) // 2], lambda answer: b"", lambda answer: answer[:-1] + b"\xff",
-    lambda answer: b"HTTP/1.1 100 X\r\n\r\n" * 50 + answer])
+@pytest.mark.parametrize(
+    "spoil",
+    [
+        lambda answer: b"\0\xff noise " * 20 + b"\r\n\r\n",
+        lambda answer: b"HTTP/1.1 200 X\r\nX-A: " + b"a" * 40000,
+        lambda answer: answer.replace(b"Content-Length: ", b"Content-Length: 3"),
+        lambda answer: answer.replace(b"Content-Length: ", b"Content-Length: 999999"),
+        lambda answer: answer[: len(answer) // 2],
+        lambda answer: b"",
+        lambda answer: answer[:-1] + b"\xff",
+        lambda answer: b"HTTP/1.1 100 X\r\n\r\n" * 50 + answer,
+    ],
+)
 @pytest.mark.parametrize("rows", [ROWS, MANY], ids=["one page", "pages"])
 def test_a_spoilt_answer_is_asked_for_again_and_never_passed_on(spoil, rows):
     # the query has run, and its engine gives its end again: running it anew wasted that, or failed it
@@ -135,6 +164,7 @@
         engine.say = spoilt
         assert world.client("once").ask("select 1") == Reply("served", rows)
         assert engine.statements == ["select 1"]
+
     world.run(play)
 
 
@@ -160,6 +190,7 @@
         assert client.ask("many") == Reply("served", MANY)
         for word in "abc":
             assert client.ask(word) == Reply("served", [(word, word, word)])
+
     world.run(play)
 
 
@@ -188,4 +219,5 @@
             world.node.owner.engines.cancel(attempt)
         world.until(lambda: call.attempt is not attempt, 10.0)
         assert least < time.monotonic() - began < most
+
     world.run(play)
--- a/tests/test_kept.py
+++ b/tests/test_kept.py
@@ -1,4 +1,5 @@
 """Kept answers: what is kept, under what, for how long, and who waits for whose fetch."""
+
 from __future__ import annotations
 
 import tomllib
@@ -47,8 +48,9 @@
     assert desk.kept.lookup(desk.call(), 5.0) is None
 
 
-@pytest.mark.parametrize("other", [{"cls": 2}, {"tenant": 1}, {"text": QUERY + b" "},
-                                   {"cls": 2, "tenant": 1}])
+@pytest.mark.parametrize(
+    "other", [{"cls": 2}, {"tenant": 1}, {"text": QUERY + b" "}, {"cls": 2, "tenant": 1}]
+)
 def test_another_class_tenant_or_statement_is_another_answer(other):
     desk = Desk()
     desk.kept.ended(desk.fetch(0.0), ROWS, 0.1)
@@ -127,26 +129,42 @@
     assert desk.told[3:] == [LoadNews(("all",), e) for e in (False, False, True)]
 
 
-@pytest.mark.parametrize("text, groups", [
-    ("select 1 from a_1.t", {1}),
-    ("SELECT x FROM [a_1].[t] o JOIN b_22.u p ON o.i = p.i WHERE o.c_9.x > 1", {1, 22}),
-    ("select * from a_1.t, b_2.u as z, c_3.v where 'from x'", {1, 2, 3}),
-    ("select * from (select y from a_1.t where z in (select q from b_2.u)) s, c_3.v", {1, 2, 3}),
-    ("select /* from z */ a from a_1.t -- from q", {1}), ("select a from a_1.t;", {1}),
-    ("select a from a_1.t union select b from c_2.t", {1, 2}),
-    ("select a from a_1.t, products", None), ("select a from a_1.t join ref.products p on 1=1", None),
-    ("with x as (select a from a_1.t) select * from x", None), ("select f from a_1.g(3)", None),
-    ("insert into a_1.t select 1", None), ("select a into b_1.t from a_1.t", None),
-    ("select a from a_1.t; delete from a_1.t", None), ("select now()", None), ("", None),
-    ("select a from a_1.t)", None)])
+@pytest.mark.parametrize(
+    "text, groups",
+    [
+        ("select 1 from a_1.t", {1}),
+        ("SELECT x FROM [a_1].[t] o JOIN b_22.u p ON o.i = p.i WHERE o.c_9.x > 1", {1, 22}),
+        ("select * from a_1.t, b_2.u as z, c_3.v where 'from x'", {1, 2, 3}),
+        ("select * from (select y from a_1.t where z in (select q from b_2.u)) s, c_3.v", {1, 2, 3}),
+        ("select /* from z */ a from a_1.t -- from q", {1}),
+        ("select a from a_1.t;", {1}),
+        ("select a from a_1.t union select b from c_2.t", {1, 2}),
+        ("select a from a_1.t, products", None),
+        ("select a from a_1.t join ref.products p on 1=1", None),
+        ("with x as (select a from a_1.t) select * from x", None),
+        ("select f from a_1.g(3)", None),
+        ("insert into a_1.t select 1", None),
+        ("select a into b_1.t from a_1.t", None),
+        ("select a from a_1.t; delete from a_1.t", None),
+        ("select now()", None),
+        ("", None),
+        ("select a from a_1.t)", None),
+    ],
+)
 def test_the_groups_that_a_query_reads(text, groups):
     assert scopes.groups_read(text) == (frozenset(groups) if groups else None)
 
 
 @settings(derandomize=True, deadline=None, max_examples=150)
-@given(st.text(max_size=60) | st.lists(st.sampled_from(
-    ["select", "from", "a_1.t", "b_2.u", ",", "(", ")", "join", "where", "'", "/*", "*/", ";"]), max_size=20
-).map(" ".join))
+@given(
+    st.text(max_size=60)
+    | st.lists(
+        st.sampled_from(
+            ["select", "from", "a_1.t", "b_2.u", ",", "(", ")", "join", "where", "'", "/*", "*/", ";"]
+        ),
+        max_size=20,
+    ).map(" ".join)
+)
 def test_no_statement_raises_and_all_groups_read_are_named(text):
     read = scopes.groups_read(text)
     assert read is None or read <= scopes.groups_named(text)
@@ -171,8 +189,11 @@
     assert [store.get(1.0, (0, 0, key)) for key in (b"a", b"b", b"c")] == [b"a", None, b"c"]
 
 
-CLASSES = (api.QueryClass(1, 2, api.Effect.SAFE), api.QueryClass(1, 2, api.Effect.SAFE, is_load=True),
-           api.QueryClass(1, 2, api.Effect.UNSAFE))
+CLASSES = (
+    api.QueryClass(1, 2, api.Effect.SAFE),
+    api.QueryClass(1, 2, api.Effect.SAFE, is_load=True),
+    api.QueryClass(1, 2, api.Effect.UNSAFE),
+)
 
 
 def read(text: str) -> tuple[Policy, list[str]]:
@@ -192,7 +213,10 @@
         assert "cannot be kept" in read(f'[[kept.class]]\nname = "{name}"\nseconds = 3\n')[1][0]
     bad = '[kept]\nmost_mbs = 1\n[[kept.class]]\nname = "lookup"\nseconds = -1\ntenants = ["no"]\n'
     assert [fault.split(":")[0] for fault in read(bad)[1]] == [
-        "fleet.kept.class[0].seconds", "fleet.kept.class[0].tenants", "fleet.kept.most_mbs"]
+        "fleet.kept.class[0].seconds",
+        "fleet.kept.class[0].tenants",
+        "fleet.kept.most_mbs",
+    ]
     faults: list[str] = []
     assert read_purges(Reader({"purges": {"lease_s": 2, "folder": "/x"}}, "", faults)).lease == 2
     assert not faults
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -1,4 +1,5 @@
 """Graceful shutdown: what comes in its last moments, what is open at its end, and that it ends in time."""
+
 from __future__ import annotations
 
 import time
@@ -52,6 +53,7 @@
         client.send("insert 1")
         assert client.read(5).kind in ("refused", "failed")
         at_its_end(client)
+
     assert leave(world, play) < 0.8 + 0.3  # a busy machine is late itself
 
 
@@ -69,6 +71,7 @@
             kinds = [client.read(10).kind for _ in range(4)]
             assert set(kinds) <= {"failed", "refused"} and not over(), kinds
             at_its_end(client)
+
     leave(world, play)
     begun = [statement for engine in world.engines for statement in engine.statements]
     assert len(begun) <= 12, "sent again what may have run"
@@ -90,4 +93,5 @@
         assert client.read(5).kind == "served"
         at_its_end(client)
         assert "select late" not in engine.statements
+
     leave(world, play)
--- a/tests/test_lingering.py
+++ b/tests/test_lingering.py
@@ -1,4 +1,5 @@
 """Connections to clients end in order: what was taken is answered, what crosses the end is not taken."""
+
 from __future__ import annotations
 
 import socket
@@ -39,6 +40,7 @@
         assert world.engines[0].statements == ["select 1"]
         client.close()
         world.until(lambda: not world.node.fronts[0][1].connections)
+
     world.run(play)
 
 
@@ -49,11 +51,13 @@
     def play():
         client = world.client()
         client.conn.sock.setblocking(True)
-        client.conn.sock.sendall(b"".join(thrift.frame(thrift.CALL, "nobody", at, b"") for at in range(1, 17))
-                                 + b"\0" * 100_000)  # all of it lies there before the first is read
+        client.conn.sock.sendall(
+            b"".join(thrift.frame(thrift.CALL, "nobody", at, b"") for at in range(1, 17)) + b"\0" * 100_000
+        )  # all of it lies there before the first is read
         client.conn.sock.setblocking(False)
         assert [client.read(10).kind for _ in range(16)] == ["broken"] * 16
         ended(client)
+
     world.run(play)
 
 
@@ -75,6 +79,7 @@
         world.until(lambda: conn.fd not in world.hub._waits[READ])  # the end has been read
         assert service.writing and [client.read(10).rows for _ in range(16)] == [long] * 16
         ended(client)
+
     world.run(play)
 
 
@@ -86,13 +91,14 @@
     def play():
         client, parts = world.client(), []
         write = client.conn.write
-        client.conn.write = lambda data, _: parts.extend(data[at:at + 40] for at in range(0, len(data), 40))
+        client.conn.write = lambda data, _: parts.extend(data[at : at + 40] for at in range(0, len(data), 40))
         client.send("select 1")
         assert len(parts) > 3
         for part in parts:
             write(part, time.monotonic() + 5)
             world.hub.sleep(0.12)
         assert client.read(10).rows == ROWS
+
     world.run(play)
 
 
@@ -106,16 +112,19 @@
                 client.conn.write(BAD["thrift"] * 1000, time.monotonic() + 10)
         world.until(lambda: not listener.connections)
         assert world.client().ask("select 1").rows == ROWS
+
     world.run(play)
 
 
 def crossing(world, client, conn) -> None:
     """A request is written between the last look at the connection and what is done upon it."""
+
     def look() -> bool:
         found = Connection.ended(conn)
         if found is False:
             client.send("select crossing")
         return found
+
     conn.ended = look
 
 
@@ -138,6 +147,7 @@
         client.close()
         world.until(lambda: conn not in listener.connections)
         assert "select crossing" not in world.engines[0].statements
+
     world.run(play)
 
 
@@ -152,8 +162,10 @@
         taken, resting = world.client(), world.client()
         taken.send("select 1")
         world.until(lambda: world.engines[0].began)
-        monkeypatch.setattr("standins.clients.connect", lambda hub, address, until: Connection(
-            hub, socket.create_connection(address)))  # as far as the backlog: nobody accepts meanwhile
+        monkeypatch.setattr(
+            "standins.clients.connect",
+            lambda hub, address, until: Connection(hub, socket.create_connection(address)),
+        )  # as far as the backlog: nobody accepts meanwhile
         waiting = [world.client() for _ in range(10)]
         for client in waiting:
             client.send("select 2")
@@ -172,6 +184,7 @@
             socket.create_connection(world.address)
         if closing:
             world.node.post(Closing())
+
     world.run(play)
 
 
@@ -196,12 +209,14 @@
                 [call] = owner.open.values()
                 owner._final(call, Failed("crossed"))
                 raise
+
         conn.fill = crossed
         client.conn.write(b"x", time.monotonic() + 5)  # it reads on, by the new way
         world.until(lambda: entered)
         client.conn.sock.shutdown(socket.SHUT_WR)
         assert client.read(10).kind == "failed"
         ended(client)
+
     world.run(play)
 
 
@@ -214,6 +229,7 @@
             with pytest.raises(TimedOut):
                 signal.wait(0.001)
         assert not signal._waiters
+
     world.run(play)
 
 
@@ -229,6 +245,7 @@
             assert len(listener.connections) <= 16
         for client in crowd[:20]:
             ended(client)
+
     world.run(play)
 
 
@@ -240,9 +257,11 @@
     def play():
         listener, give_way, client = world.node.fronts[0][1], world.hub.give_way, world.client()
         world.hub.give_way = lambda: (give_way(), listener._make_room())
-        client.conn.write(b"".join(thrift.frame(thrift.CALL, "nobody", at, b"") for at in range(1, 9)),
-                          time.monotonic() + 5)
+        client.conn.write(
+            b"".join(thrift.frame(thrift.CALL, "nobody", at, b"") for at in range(1, 9)), time.monotonic() + 5
+        )
         assert [client.read(10).kind for _ in range(8)] == ["broken"] * 8
+
     world.run(play)
 
 
@@ -265,4 +284,5 @@
         taken.close()
         resting.close()
         world.until(lambda: not listener.connections)
+
     world.run(play)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -1,4 +1,5 @@
 """The relay on real sockets, and the draws behind it."""
+
 from __future__ import annotations
 
 import random
@@ -186,9 +187,22 @@
     stranger.close()
 
 
-@pytest.mark.parametrize("line", [
-    "link a b loss=2", "link a b lost=0.1", "link a b loss", "link a d loss=1", "cut a", "cut a d",
-    "part a,d", "sever a b", "door x", "link a b rate=-1", "heal a"])
+@pytest.mark.parametrize(
+    "line",
+    [
+        "link a b loss=2",
+        "link a b lost=0.1",
+        "link a b loss",
+        "link a d loss=1",
+        "cut a",
+        "cut a d",
+        "part a,d",
+        "sever a b",
+        "door x",
+        "link a b rate=-1",
+        "heal a",
+    ],
+)
 def test_commands_that_are_none_change_nothing(ends, line):
     with pytest.raises(ValueError):
         ends.relay(*line.split())
@@ -198,6 +212,7 @@
 
 # ---- draws --------------------------------------------------------------------------------------------
 
+
 def fates(seed: int, **ab: float) -> list[list[float]]:
     weather = Weather(seed, Link(loss=0.3, jitter_ms=10, repeat=0.2))
     weather.link("a", "b", Link(**ab))
@@ -213,7 +228,7 @@
     one, other = Weather(1, Link(jitter_ms=10)), Weather(1, Link(loss=0.5, jitter_ms=10))
     delays = [one.fate(0.0, "a", "b", 1) for _ in range(100)]
     kept = [fate for fate in (other.fate(0.0, "a", "b", 1) for _ in range(100)) if fate]
-    assert kept == delays[:len(kept)]  # what is lost takes no delay from the others
+    assert kept == delays[: len(kept)]  # what is lost takes no delay from the others
 
 
 def test_a_slow_link_loses_what_would_wait_too_long():
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,4 +1,5 @@
 """The rule by which sources make one list, on a clock of the tests' own."""
+
 from __future__ import annotations
 
 import random
@@ -178,8 +179,12 @@
 def test_an_address_that_is_not_allowed_is_never_told_and_logged_once():
     policy = AddressPolicy(["10.0.0.0/8", "fd00::/8"], ["10.9.0.0/16"])
     w = World(allows=policy.allows)
-    rows = [Member(f"x{i}", (host, 80), LIVE) for i, host in enumerate(
-        ["10.1.2.3", "10.9.1.1", "192.168.1.1", "fd00::1", "fe80::1", "0.0.0.0", "::", "224.0.0.1"])]
+    rows = [
+        Member(f"x{i}", (host, 80), LIVE)
+        for i, host in enumerate(
+            ["10.1.2.3", "10.9.1.1", "192.168.1.1", "fd00::1", "fe80::1", "0.0.0.0", "::", "224.0.0.1"]
+        )
+    ]
     for _ in range(5):
         w.whole("roster", *rows)
         w.change("roster", rows[1])
@@ -190,9 +195,18 @@
     assert w.live == {"x3"}  # a new policy counts at once
 
 
-@pytest.mark.parametrize("host, allowed", [
-    ("::ffff:10.9.1.1", False), ("::ffff:10.1.1.1", True), ("10.9.255.255", False), ("ff02::1", False),
-    ("255.255.255.255", False), ("nonsense", False), ("fd00:1::1", False)])
+@pytest.mark.parametrize(
+    "host, allowed",
+    [
+        ("::ffff:10.9.1.1", False),
+        ("::ffff:10.1.1.1", True),
+        ("10.9.255.255", False),
+        ("ff02::1", False),
+        ("255.255.255.255", False),
+        ("nonsense", False),
+        ("fd00:1::1", False),
+    ],
+)
 def test_addresses_in_other_clothes(host, allowed):
     assert AddressPolicy(["10.0.0.0/8"], ["10.9.0.0/16"]).allows(host) is allowed
 
@@ -220,6 +234,7 @@
 
 # ---- tiers --------------------------------------------------------------------------------------------
 
+
 def tiered(*counts: int, **rules) -> tuple[World, list[Member]]:
     w = World(Spec("roster"), Spec("srv", False, 1.0), tiers=TierRules(**rules))
     rows = [srv(100 * p + n, p, 10) for p, count in enumerate(counts) for n in range(1, count + 1)]
@@ -310,8 +325,12 @@
         rows = {}
         for port in rng.sample(range(1, 7), rng.randrange(0, 6)):
             ident = f"h{port}:1" if name == "c" else rng.choice([f"{name}{port}", f"{name}{port}'"])
-            rows[port] = at(port, ident, LIVE if name == "c" else rng.choice([LIVE, LIVE, DRAINING]),
-                            weight=1.0 if name == "c" else None)
+            rows[port] = at(
+                port,
+                ident,
+                LIVE if name == "c" else rng.choice([LIVE, LIVE, DRAINING]),
+                weight=1.0 if name == "c" else None,
+            )
         w.whole(name, *rows.values())
         missing = said[name].keys() - rows.keys()
         if name == "c" and len(missing) > 0.5 * len(said["c"]):
--- a/tests/test_overload_ledger.py
+++ b/tests/test_overload_ledger.py
@@ -1,4 +1,5 @@
 """Promise 1: parts never sum to more than the whole. Schedules by hand, by chance, and all small ones."""
+
 from __future__ import annotations
 
 import math
@@ -94,8 +95,18 @@
     assert world.processes[2].ledger.share(world.processes[2].now, 0) == pytest.approx(1 / 3)
 
 
-@pytest.mark.parametrize("change", [{"count": 0}, {"voters": ()}, {"voters": ("a", "a")}, {"alone": 1.5},
-                                    {"lease": 0.0}, {"beat": 2.0}, {"loan": math.nan}])
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"count": 0},
+        {"voters": ()},
+        {"voters": ("a", "a")},
+        {"alone": 1.5},
+        {"lease": 0.0},
+        {"beat": 2.0},
+        {"loan": math.nan},
+    ],
+)
 def test_rules_that_cannot_be_used_are_named(change):
     with pytest.raises(FleetConfigTrouble, match="overload." + next(iter(change))):
         Rules(**{"count": 3, "voters": ("a", "b", "c"), **change}).check()
@@ -139,8 +150,12 @@
     def run(self, seconds, step):
         self.world.run(seconds, step)
 
-    @rule(index=st.integers(0, 9), lender=st.integers(0, 9), amount=st.sampled_from([0.0, 0.02, 0.1, 1.0]),
-          other=st.sampled_from([0.0, 0.05]))
+    @rule(
+        index=st.integers(0, 9),
+        lender=st.integers(0, 9),
+        amount=st.sampled_from([0.0, 0.02, 0.1, 1.0]),
+        other=st.sampled_from([0.0, 0.05]),
+    )
     def borrow(self, index, lender, amount, other):
         process = self.pick(index)
         if process is not None and not process.paused:
@@ -178,17 +193,28 @@
         side = dict(zip(self.world.names, sides, strict=False))
         self.world.cut = {frozenset((a, b)) for a in side for b in side if side[a] != side[b]}
 
-    @rule(loss=st.sampled_from([0.0, 0.3]), repeat=st.sampled_from([0.0, 0.5]),
-          delay=st.sampled_from([(0.0, 0.05), (0.1, 1.5), (0.0, 12.0)]))
+    @rule(
+        loss=st.sampled_from([0.0, 0.3]),
+        repeat=st.sampled_from([0.0, 0.5]),
+        delay=st.sampled_from([(0.0, 0.05), (0.1, 1.5), (0.0, 12.0)]),
+    )
     def weather(self, loss, repeat, delay):
         self.world.loss, self.world.repeat, self.world.delay = loss, repeat, delay
 
 
 def explore(make=Ledger, examples=40, steps=40):
     machine = type("Machine", (Schedules,), {"make": staticmethod(make)})
-    run_state_machine_as_test(machine, settings=settings(
-        derandomize=True, deadline=None, max_examples=examples, stateful_step_count=steps,
-        suppress_health_check=list(HealthCheck), database=None))
+    run_state_machine_as_test(
+        machine,
+        settings=settings(
+            derandomize=True,
+            deadline=None,
+            max_examples=examples,
+            stateful_step_count=steps,
+            suppress_health_check=list(HealthCheck),
+            database=None,
+        ),
+    )
 
 
 def test_no_schedule_makes_the_parts_more_than_the_whole():
@@ -212,8 +238,11 @@
             side = {name: rng.randrange(3) for name in world.names}
             world.cut = {frozenset((a, b)) for a in side for b in side if side[a] != side[b]}
         elif act == 4:
-            world.cut = set(rng.sample([frozenset((a, b)) for a in world.names for b in world.names if a < b],
-                                       rng.randrange(3)))
+            world.cut = set(
+                rng.sample(
+                    [frozenset((a, b)) for a in world.names for b in world.names if a < b], rng.randrange(3)
+                )
+            )
         elif act == 5 and process is not None:
             process.paused = True
         elif act == 6:
@@ -308,8 +337,14 @@
     assert states > 2000 and transitions > 5000
 
 
-@pytest.mark.parametrize("defect", ["no fall without a majority", "the lender grants before it lowers",
-                                    "who was called silent is acknowledged at once"])
+@pytest.mark.parametrize(
+    "defect",
+    [
+        "no fall without a majority",
+        "the lender grants before it lowers",
+        "who was called silent is acknowledged at once",
+    ],
+)
 def test_the_small_model_finds_a_planted_defect(defect):
     with pytest.raises(AssertionError, match="p1"):
         for start in STARTS:
--- a/tests/test_overload_part.py
+++ b/tests/test_overload_part.py
@@ -1,4 +1,5 @@
 """The overload part in a world of many: sums, cut line, stability, retries, probes and turns."""
+
 from __future__ import annotations
 
 import random
@@ -27,8 +28,11 @@
 def sums(world: Cluster) -> None:
     """Promise 1, in shares and in threads, over all that exist."""
     for kind in range(2):
-        shares = sum(p.part("overload").ledger.share(p.clock(), kind) for p in world.running if p.parts
-                     and p.part("overload").ledger is not None)
+        shares = sum(
+            p.part("overload").ledger.share(p.clock(), kind)
+            for p in world.running
+            if p.parts and p.part("overload").ledger is not None
+        )
         assert shares <= 1 + 1e-9, f"shares of kind {kind} sum to {shares}"
 
 
@@ -55,6 +59,7 @@
         made = part(rules)
         made.load = (load or {}).get(name, {0: (8.0, 1.0)})
         return [made]
+
     return Cluster(seed, names, make, **more)
 
 
@@ -152,8 +157,14 @@
 
 
 @settings(derandomize=True, deadline=None, max_examples=60)
-@given(st.floats(0.1, 100), st.dictionaries(st.sampled_from("abcde"), st.lists(
-    st.tuples(st.floats(0.01, 100), st.floats(0, 50)), max_size=3), min_size=1))
+@given(
+    st.floats(0.1, 100),
+    st.dictionaries(
+        st.sampled_from("abcde"),
+        st.lists(st.tuples(st.floats(0.01, 100), st.floats(0, 50)), max_size=3),
+        min_size=1,
+    ),
+)
 def test_what_is_dealt_is_the_whole_and_no_more(capacity, asked):
     assert sum(deal(capacity, asked).targets.values()) <= 1 + 1e-9
 
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -1,4 +1,5 @@
 """The owner where something in it breaks: whose request that costs, and what is carried out all the same."""
+
 from __future__ import annotations
 
 import time
@@ -24,13 +25,24 @@
         self.lines, self.answers, self.started, self.retired = [], [], [], []
         self.breaks = ""  # the method of the engines that raises for whatever is BAD
         self.hub = Hub(self.lines.append)
-        self.owner = Owner(self.hub, SETTINGS, 1, SimpleNamespace(
-            start=self.method("start", self.started), retire=self.method("retire", self.retired),
-            cancel=self.method("cancel", []), probe=lambda peer: None, rank=lambda attempt, priority: None))
+        self.owner = Owner(
+            self.hub,
+            SETTINGS,
+            1,
+            SimpleNamespace(
+                start=self.method("start", self.started),
+                retire=self.method("retire", self.retired),
+                cancel=self.method("cancel", []),
+                probe=lambda peer: None,
+                rank=lambda attempt, priority: None,
+            ),
+        )
         members = tuple(Member(name, ("127.0.0.1", 80), api.EngineState.LIVE) for name in (BAD, FINE))
         self.owner.take(News(1, True, members))
-        self.calls = {name: books.Call(name, 0, 0, b"", None, None, time.monotonic(), 60.0, self.reply)
-                      for name in (BAD, FINE)}
+        self.calls = {
+            name: books.Call(name, 0, 0, b"", None, None, time.monotonic(), 60.0, self.reply)
+            for name in (BAD, FINE)
+        }
         self.owner.open.update(self.calls)
         self.hub.spawn(self.owner.run)
 
@@ -40,6 +52,7 @@
             if name == self.breaks and one == BAD:
                 raise ValueError("a fault in the program")
             done.append(one)
+
         return call
 
     def reply(self, call: books.Call, final: books.Final) -> None:
@@ -49,21 +62,27 @@
 
     def play(self, *events) -> None:
         """The owner takes them, and what follows of them; each fault was reported."""
+
         def scene() -> None:
             for event in events:
                 self.owner.queue.put(event)
             self.hub.sleep(0)
             while self.owner.queue.items:
                 self.hub.sleep(0)
+
         play(self.hub, scene)
         assert self.owner.faults == sum(line.startswith("error: ") for line in self.lines)
 
 
-@pytest.mark.parametrize("first, breaks, fine", [
-    (api.Send(BAD, BAD, 1.0), "start", api.Send(FINE, FINE, 1.0)),
-    (api.Send(BAD, "no such engine", 1.0), "", api.Send(FINE, FINE, 1.0)),
-    (api.Probe("no such engine"), "", api.Refuse(FINE)),
-    (api.Fail(BAD), "reply", api.Refuse(FINE))])
+@pytest.mark.parametrize(
+    "first, breaks, fine",
+    [
+        (api.Send(BAD, BAD, 1.0), "start", api.Send(FINE, FINE, 1.0)),
+        (api.Send(BAD, "no such engine", 1.0), "", api.Send(FINE, FINE, 1.0)),
+        (api.Probe("no such engine"), "", api.Refuse(FINE)),
+        (api.Fail(BAD), "reply", api.Refuse(FINE)),
+    ],
+)
 def test_an_action_that_breaks_costs_its_own_request_and_the_others_are_carried_out(first, breaks, fine):
     made, told = Scene(), []
     made.breaks = breaks
@@ -78,13 +97,19 @@
     assert made.started == [FINE] * sent and made.owner.faults == 1
     assert made.answers == [(BAD, books.Failed)] * own + [(FINE, books.Refused)] * (not sent)
     if own:  # the module holds neither the request nor its attempt any more
-        assert told[1:] == [api.ClientGone(BAD),
-                            api.AttemptEnded(BAD, 0, first.engine, api.Outcome.MOOT, 0.0, True)]
-
-
-@pytest.mark.parametrize("decided, started, answers", [
-    ([api.Refuse(FINE)], [], [(FINE, books.Refused), (BAD, books.Failed)]),
-    ([api.Send(BAD, FINE, 1.0)], [BAD], [])])
+        assert told[1:] == [
+            api.ClientGone(BAD),
+            api.AttemptEnded(BAD, 0, first.engine, api.Outcome.MOOT, 0.0, True),
+        ]
+
+
+@pytest.mark.parametrize(
+    "decided, started, answers",
+    [
+        ([api.Refuse(FINE)], [], [(FINE, books.Refused), (BAD, books.Failed)]),
+        ([api.Send(BAD, FINE, 1.0)], [BAD], []),
+    ],
+)
 def test_what_the_module_had_decided_before_it_broke_is_carried_out(decided, started, answers):
     made = Scene()
     gateway = made.owner.gateway
@@ -119,8 +144,11 @@
 def test_news_are_whole_though_one_engine_cannot_be_retired():
     made = Scene()
     made.breaks = "retire"
-    made.play(News(2, False, tuple(Member(name, ("127.0.0.1", 80), api.EngineState.DRAINING)
-                                   for name in (BAD, FINE))))
+    made.play(
+        News(
+            2, False, tuple(Member(name, ("127.0.0.1", 80), api.EngineState.DRAINING) for name in (BAD, FINE))
+        )
+    )
     assert made.retired == [FINE] and not any(peer.takes_work for peer in made.owner.peers.values())
     assert not made.owner.gateway.live and made.owner.faults == 1
 
@@ -129,7 +157,9 @@
     made, told = Scene(), []
     before = made.owner.peers[BAD]
     made.owner.gateway.handle = lambda now, event: told.append(event) or []
-    made.play(News(2, False, (Member(BAD, ("127.0.0.1", 80), api.EngineState.LIVE, started=9.0),)),
-              books.Probed(before, api.Outcome.CONNECT_FAILED, 0.1, None),
-              books.Probed(made.owner.peers[FINE], api.Outcome.OK, 0.1, None))
+    made.play(
+        News(2, False, (Member(BAD, ("127.0.0.1", 80), api.EngineState.LIVE, started=9.0),)),
+        books.Probed(before, api.Outcome.CONNECT_FAILED, 0.1, None),
+        books.Probed(made.owner.peers[FINE], api.Outcome.OK, 0.1, None),
+    )
     assert [event.engine for event in told if isinstance(event, api.ProbeEnded)] == [FINE]
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -1,4 +1,5 @@
 """The ordinary path's short ways: each as the long way has it, and under the failures that could break it."""
+
 from __future__ import annotations
 
 import errno
@@ -37,8 +38,13 @@
 
 
 @settings(**EXAMPLES)
-@given(st.integers(-2**31, 2**31 - 1), st.dictionaries(TEXT, TEXT, max_size=6), st.binary(max_size=400),
-       st.binary(max_size=9), st.binary(max_size=9))
+@given(
+    st.integers(-(2**31), 2**31 - 1),
+    st.dictionaries(TEXT, TEXT, max_size=6),
+    st.binary(max_size=400),
+    st.binary(max_size=9),
+    st.binary(max_size=9),
+)
 def test_a_usual_call_reads_as_the_general_reader_reads_it(seqid, fields, body, before, after):
     data = frame_of(seqid, fields, body)
     found = thrift.read_serve(before + data + after, len(before), len(before) + len(data))
@@ -48,8 +54,12 @@
 
 
 @settings(**EXAMPLES)
-@given(st.dictionaries(TEXT, TEXT, max_size=4), st.binary(max_size=30),
-       st.lists(st.tuples(st.integers(0, 200), st.integers(0, 255)), max_size=4), st.integers(-9, 9))
+@given(
+    st.dictionaries(TEXT, TEXT, max_size=4),
+    st.binary(max_size=30),
+    st.lists(st.tuples(st.integers(0, 200), st.integers(0, 255)), max_size=4),
+    st.integers(-9, 9),
+)
 def test_a_spoilt_call_is_left_to_the_general_reader_or_read_alike(fields, body, changes, cut):
     data = bytearray(frame_of(1, fields, body))
     for at, value in changes:
@@ -60,14 +70,45 @@
     if found is not None:
         message = thrift.read_message(data[:end])
         assert (message.seqid, message.args, message.kind, message.name) == (
-            found[0], {1: found[1], 2: found[2]}, thrift.CALL, "serve")
+            found[0],
+            {1: found[1], 2: found[2]},
+            thrift.CALL,
+            "serve",
+        )
 
 
 @settings(**EXAMPLES)
-@given(st.lists(st.sampled_from([
-    "select ", "from ", "where ", "a_1", "b_22", ".", ".x", " . ", "staging", "1", "9a_3.", "'", '"',
-       "[", "--",
-    "/*", "é_7", ", ", "$", "_", "@", " "]), max_size=9).map("".join))
+@given(
+    st.lists(
+        st.sampled_from(
+            [
+                "select ",
+                "from ",
+                "where ",
+                "a_1",
+                "b_22",
+                ".",
+                ".x",
+                " . ",
+                "staging",
+                "1",
+                "9a_3.",
+                "'",
+                '"',
+                "[",
+                "--",
+                "/*",
+                "é_7",
+                ", ",
+                "$",
+                "_",
+                "@",
+                " ",
+            ]
+        ),
+        max_size=9,
+    ).map("".join)
+)
 @example("select a from sales_17.orders where id = 5")
 @example("select 1.5 from b_22")
 @example("9a_3.x")
@@ -76,8 +117,11 @@
 
 
 @settings(**EXAMPLES)
-@given(st.lists(st.tuples(st.sampled_from(["fill", "pull", "peek", "drop", "find"]), st.integers(0, 40)),
-                max_size=40))
+@given(
+    st.lists(
+        st.tuples(st.sampled_from(["fill", "pull", "peek", "drop", "find"]), st.integers(0, 40)), max_size=40
+    )
+)
 def test_an_inbox_gives_what_came_in_its_order(steps):
     box, held, number = Inbox(64), b"", 0
     for what, count in steps:
@@ -90,10 +134,10 @@
                 left = data
                 while left:
                     space = box.space()
-                    some = left[:len(space)]
-                    space[:len(some)] = some
+                    some = left[: len(space)]
+                    space[: len(some)] = some
                     box.added(len(some))
-                    left = left[len(some):]
+                    left = left[len(some) :]
             held += data
         elif what == "pull":
             assert box.pull(count) == held[:count]
@@ -111,6 +155,7 @@
 
 # ---- writes and reads that come short -----------------------------------------------------------------
 
+
 def test_a_vectored_write_may_stop_at_each_byte():
     # what the system did not take follows, neither lost nor twice
     parts = [b"ab", b"", b"cdefg", b"h", b"ijk"]
@@ -127,11 +172,13 @@
                 got += data
             assert got == whole and conn.written == len(whole)
             theirs.close()
+
     play(hub, scene)
 
 
-@pytest.mark.parametrize("error", [InterruptedError(errno.EINTR, "x"), BlockingIOError(errno.EAGAIN, "x")],
-                         ids=["EINTR", "EAGAIN"])
+@pytest.mark.parametrize(
+    "error", [InterruptedError(errno.EINTR, "x"), BlockingIOError(errno.EAGAIN, "x")], ids=["EINTR", "EAGAIN"]
+)
 def test_calls_that_are_interrupted_or_not_ready_are_made_again(error):
     hub = Hub()
 
@@ -148,6 +195,7 @@
         assert conn.sock.tried.count("recv") >= 2 and conn.sock.tried.count("recv_into") >= 2
         conn.close()
         theirs.close()
+
     play(hub, scene)
 
 
@@ -160,9 +208,11 @@
         theirs.sendall(b"x")
         with pytest.raises(Closed):
             conn.fill(time.monotonic() + 5) if call == "recv" else conn.write_parts(
-                [b"a"] if call == "send" else [b"a", b"b"], time.monotonic() + 5)
+                [b"a"] if call == "send" else [b"a", b"b"], time.monotonic() + 5
+            )
         conn.close()
         theirs.close()
+
     play(hub, scene)
 
 
@@ -191,12 +241,20 @@
         assert served and not failing
         theirs.close()
         listener.close()
+
     play(hub, scene)
 
 
-@pytest.mark.parametrize("code, comes_up, scarce", [
-    (errno.EINTR, True, False), (errno.EINPROGRESS, True, False), (errno.EAGAIN, False, True),
-    (errno.EADDRNOTAVAIL, False, True), (errno.ECONNREFUSED, False, False)])
+@pytest.mark.parametrize(
+    "code, comes_up, scarce",
+    [
+        (errno.EINTR, True, False),
+        (errno.EINPROGRESS, True, False),
+        (errno.EAGAIN, False, True),
+        (errno.EADDRNOTAVAIL, False, True),
+        (errno.ECONNREFUSED, False, False),
+    ],
+)
 def test_each_error_of_connect_means_what_it_means(monkeypatch, code, comes_up, scarce):
     hub, server = Hub(), socket.create_server(("127.0.0.1", 0))
 
@@ -214,6 +272,7 @@
             with pytest.raises(Refused) as why:
                 connect(hub, server.getsockname(), time.monotonic() + 5)
             assert why.value.scarce is scarce
+
     play(hub, scene)
     server.close()
 
@@ -237,4 +296,5 @@
         monkeypatch.setattr("aspenrill.net.conn.socket.socket", Scarce)
         assert client.ask("insert 2").kind == "served" and not failing[0]
         assert world.engines[0].statements == ["select 1", "insert 2"]
+
     world.run(run)
--- a/tests/test_path_many.py
+++ b/tests/test_path_many.py
@@ -1,4 +1,5 @@
 """Many requests on one connection: answers that leave together, slow readers, ends half way."""
+
 from __future__ import annotations
 
 import gc
@@ -40,14 +41,16 @@
 
     def run():
         at = [time.monotonic() + 0.5]
-        world.engines[0].act = lambda s: Act(max(0.0, at[0] - time.monotonic()), s.endswith(" 17"),
-                                             rows=[(s, "a", "b")])
+        world.engines[0].act = lambda s: Act(
+            max(0.0, at[0] - time.monotonic()), s.endswith(" 17"), rows=[(s, "a", "b")]
+        )
         client = world.client()
         together(world, client, [f"select {i}" for i in range(32)])
         replies = numbered(client, 32)
         assert {reply.kind for reply in replies} == {"served"}
         assert sorted(reply.rows[0][0] for reply in replies) == sorted(f"select {i}" for i in range(32))
         assert world.engines[0].statements.count("select 17") == 1
+
     world.run(run)
 
 
@@ -59,12 +62,15 @@
         client = world.client()
         together(world, client, [f"select {i}" for i in range(4)])
         world.until(lambda: len(world.engines[0].began) == 4)
-        client.conn.write(thrift.frame(thrift.ONEWAY, "forget", 0, thrift.field(
-            thrift.I32, 1, struct.pack(">i", 2))), time.monotonic() + 5)
+        client.conn.write(
+            thrift.frame(thrift.ONEWAY, "forget", 0, thrift.field(thrift.I32, 1, struct.pack(">i", 2))),
+            time.monotonic() + 5,
+        )
         found = sorted(reply.rows[0][0] for reply in numbered(client, 3))
         assert found == ["select 0", "select 2", "select 3"]
         assert client.ask("select 9").rows[0][0] == "select 9"
         assert world.engines[0].stopped == ["select 1"]
+
     world.run(run)
 
 
@@ -83,6 +89,7 @@
         world.until(lambda: not world.node.owner.open and not world.node.fronts[0][1].connections, 5)
         assert world.node.fronts[0][0].writing == 0
         assert world.client().ask("select 1").rows == wide
+
     world.run(run)
 
 
@@ -115,6 +122,7 @@
             world.until(lambda s=session: not s.busy)
             assert not session.answers and not session.fresh and session.conn.outgoing._view is None
             engine.ended.clear()
+
     world.run(run)
 
 
@@ -124,11 +132,13 @@
 
     def run():
         client = world.client()
-        client.conn.write(b"".join(thrift.frame(thrift.CALL, "nobody", i, b"") for i in range(1, 17)),
-                          time.monotonic() + 5)
+        client.conn.write(
+            b"".join(thrift.frame(thrift.CALL, "nobody", i, b"") for i in range(1, 17)), time.monotonic() + 5
+        )
         assert [reply.kind for reply in numbered(client, 16)] == ["broken"] * 16
         with pytest.raises(Closed):
             client.read(5)
+
     world.run(run)
 
 
@@ -142,6 +152,7 @@
         busy, soon = [], world.hub.soon
         world.hub.soon = lambda call: (busy.append(conn.busy), soon(call))
         assert client.ask("select 2").rows == ROWS and busy == [1] and conn.busy == 0
+
     world.run(run)
 
 
@@ -162,6 +173,7 @@
         assert worthy.ask("select 3").kind == "served"  # of more worth: not yet
         world.hub.lag = lambda: 0.0
         assert client.ask("select 4").kind == "served"
+
     world.run(run)
 
 
@@ -176,4 +188,5 @@
                 conn.frame(65536, time.monotonic() + 5)
             conn.close()
             theirs.close()
+
     play(hub, scene)
--- a/tests/test_policy_admission.py
+++ b/tests/test_policy_admission.py
@@ -1,4 +1,5 @@
 """Who comes in, who waits in line, who is refused. The module alone, without the bench."""
+
 from __future__ import annotations
 
 import pytest
--- a/tests/test_policy_choice.py
+++ b/tests/test_policy_choice.py
@@ -1,4 +1,5 @@
 """Which engine gets a query. The module alone, without the bench."""
+
 from __future__ import annotations
 
 import pytest
--- a/tests/test_policy_outcomes.py
+++ b/tests/test_policy_outcomes.py
@@ -1,4 +1,5 @@
 """What follows from the end of an attempt. The module alone, without the bench."""
+
 from __future__ import annotations
 
 import random
--- a/tests/test_policy_sending.py
+++ b/tests/test_policy_sending.py
@@ -1,4 +1,5 @@
 """What is sent, with which limits, and what is not sent. The module alone, without the bench."""
+
 from __future__ import annotations
 
 from dataclasses import replace
@@ -11,11 +12,20 @@
 
 
 def test_an_attempt_leaves_time_for_another_where_its_answer_may_be_lost():
-    for effect, more, limited in ((Effect.SAFE, {}, True), (Effect.UNSAFE, {}, False),
-                                  (Effect.SAFE, {"may_cancel": False}, False)):
+    for effect, more, limited in (
+        (Effect.SAFE, {}, True),
+        (Effect.UNSAFE, {}, False),
+        (Effect.SAFE, {"may_cancel": False}, False),
+    ):
         spec = api.QueryClass(aim=1.0, patience=5.0, effect=effect)
-        g = gateway("a", "b", classes=(spec,), gateways=9, costs_told=True,
-                    **{"may_probe": True, "may_cancel": True} | more)
+        g = gateway(
+            "a",
+            "b",
+            classes=(spec,),
+            gateways=9,
+            costs_told=True,
+            **{"may_probe": True, "may_cancel": True} | more,
+        )
         g.classes[0].latency, g.classes[0].work, g.ordinary = 0.2, 0.2, 2.5
         g.handle(0.1, api.Request("r", 0, 5.0))
         send = sends(timers(g, 0.3))[0]
--- a/tests/test_policy_view.py
+++ b/tests/test_policy_view.py
@@ -1,4 +1,5 @@
 """What a gateway knows: engines in and out, what was told and learned. The module alone, no bench."""
+
 from __future__ import annotations
 
 import math
@@ -82,8 +83,15 @@
 
 def test_what_is_over_is_forgotten():
     keyed = api.QueryClass(aim=3.0, patience=9.0, effect=Effect.KEYED, dedup_window=5.0, in_order=True)
-    g = gateway("a", classes=(keyed,), key_rest=0.3, cold_for=5.0, fall_window=1.0, fall_multiple=3.0,
-                start_capacity=0.5)
+    g = gateway(
+        "a",
+        classes=(keyed,),
+        key_rest=0.3,
+        cold_for=5.0,
+        fall_window=1.0,
+        fall_multiple=3.0,
+        start_capacity=0.5,
+    )
     for i in range(400):
         now, name = i * 6.0, f"e{i}"
         g.handle(now, ListUpdate(ListMode.COMPLETE, (EngineEntry(name, EngineState.LIVE),)))
@@ -94,8 +102,23 @@
         timers(g, now + 2)
         g.handle(now + 2, AttemptEnded(f"r{i}", i % 2, name, Outcome.OK, 1.0, True))
         timers(g, now + 5.9)
-    sizes = [len(x) for x in (g.fleet.engines, g.fleet.orders, g.queries, g.out, g.held, g.lines.by_key,
-                              g.key_rest, g.taken, g.extra, g.starts, g.entered, g.lost)]
+    sizes = [
+        len(x)
+        for x in (
+            g.fleet.engines,
+            g.fleet.orders,
+            g.queries,
+            g.out,
+            g.held,
+            g.lines.by_key,
+            g.key_rest,
+            g.taken,
+            g.extra,
+            g.starts,
+            g.entered,
+            g.lost,
+        )
+    ]
     assert max(sizes) < 40
 
 
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -1,4 +1,5 @@
 """Connections to engines: turns reach who still waits, and a slow dial alone condemns nobody."""
+
 from __future__ import annotations
 
 import socket
@@ -42,11 +43,13 @@
 
     def take(self, name: str, peer: Peer, fresh: bool = False, within: float = LONG):
         """In a task of its own; what it got, or why not, stands under its name."""
+
         def work() -> None:
             try:
                 self.got[name] = self.pools.take(peer, time.monotonic() + within, fresh)
             except Refused as why:
                 self.got[name] = why
+
         return self.hub.spawn(work)
 
     def first_in_line(self):
@@ -80,9 +83,14 @@
 WHAT = ["connection", "dial", "descriptor", "descriptor or connection"]
 
 
-@pytest.mark.parametrize("how, what", [
-    *[(how, what) for how in ("interrupted", "late") for what in WHAT],
-    ("fresh", "connection"), ("fresh", "descriptor or connection")])  # a fresh one can use the others
+@pytest.mark.parametrize(
+    "how, what",
+    [
+        *[(how, what) for how in ("interrupted", "late") for what in WHAT],
+        ("fresh", "connection"),
+        ("fresh", "descriptor or connection"),
+    ],
+)  # a fresh one can use the others
 def test_a_turn_passes_by_who_cannot_use_it(monkeypatch, how, what):
     # it went to a task that had been woken otherwise and not run yet, and the next waited out its time
     lines = Lines(monkeypatch, most=1 if "descriptor" in what else 99)
@@ -117,6 +125,7 @@
         lines.held = False
         lines.gate.set()
         lines.round()
+
     lines.play(scene)
 
 
@@ -147,6 +156,7 @@
         lines.pools.drop(conn)
         lines.round(8)
         assert isinstance(lines.got["second"], Connection)
+
     lines.play(scene)
 
 
@@ -177,6 +187,7 @@
         lines.round()
         assert pools.count == 1 + len(peer.idle) and len(peer.idle) == (then == "comes up")
         assert not pools.late and conn.open
+
     lines.play(scene)
 
 
@@ -207,6 +218,7 @@
         lines.held = True
         refused()
         assert lines.dials == before + 6  # it had come up since
+
     lines.play(scene)
 
 
@@ -220,6 +232,7 @@
         until(lines, lambda: "short" in lines.got)
         lines.held = False
         assert lines.pools.take(lines.peer, time.monotonic() + LONG).open
+
     lines.play(scene)
 
 
@@ -236,6 +249,7 @@
             lines.round()
         assert lines.dials == 3 and isinstance(lines.got["slow"], Refused) and lines.got["slow"].scarce
         assert lines.pools.take(lines.peer, time.monotonic() + LONG).open
+
     lines.play(scene)
 
 
@@ -259,6 +273,7 @@
         assert taken == (how != "interrupted") and lines.dials == (2 if how == "up" else 1)
         assert pools.count == taken + len(peer.idle) == lines.dials and not pools.late
         assert peer.dialing == 0
+
     lines.play(scene)
 
 
@@ -272,12 +287,14 @@
         lines.gone(task, "interrupted")
         lines.round()
         assert lines.pools.count == lines.peer.dialing == 0 and not lines.pools.late
+
     lines.play(scene)
 
 
 @pytest.mark.parametrize("interrupted", [False, True])
 def test_after_an_answer_that_nobody_asked_for_a_connection_settles_before_the_next_call(
-        monkeypatch, interrupted):
+    monkeypatch, interrupted
+):
     lines = Lines(monkeypatch, dialing=1)
     monkeypatch.setattr(pool, "SETTLE", 1.5 if interrupted else 0.1)
     pools, peer = lines.pools, lines.peer
@@ -299,6 +316,7 @@
         lines.gate.set()
         until(lines, lambda: "second" in lines.got)
         lines.round()
+
     lines.play(scene)
 
 
@@ -330,4 +348,5 @@
         lines.gate.set()
         until(lines, lambda: "first" in lines.got)
         lines.round()
+
     lines.play(scene)
--- a/tests/test_purges.py
+++ b/tests/test_purges.py
@@ -1,4 +1,5 @@
 """Purges in their parts: records on disk, messages, the tree, operators' files."""
+
 from __future__ import annotations
 
 import json
@@ -116,9 +117,17 @@
 
 
 @settings(derandomize=True, deadline=None, max_examples=200)
-@given(st.binary(max_size=80) | st.lists(
-    st.none() | st.integers(-9, 1 << 60) | st.text(max_size=9) | st.lists(st.integers(0, 9), max_size=3)
-    | st.sampled_from(["a", "g", "s", "h", "w", "t", "g1", "all"]), max_size=9).map(wire.encode))
+@given(
+    st.binary(max_size=80)
+    | st.lists(
+        st.none()
+        | st.integers(-9, 1 << 60)
+        | st.text(max_size=9)
+        | st.lists(st.integers(0, 9), max_size=3)
+        | st.sampled_from(["a", "g", "s", "h", "w", "t", "g1", "all"]),
+        max_size=9,
+    ).map(wire.encode)
+)
 def test_whatever_a_message_holds_nothing_raises(body):
     part, _, _ = alone()
     part.on_message(1.0, "z", 1, body)
@@ -128,10 +137,12 @@
 
 
 @settings(derandomize=True, deadline=None, max_examples=60)
-@given(st.builds(wire.Ask, LEVEL, *[FEW] * 5, st.just([]), st.booleans())
-       | st.builds(wire.Grant, LEVEL, FEW, st.floats(0, 9), FEW, st.just(["g1"]))
-       | st.builds(wire.Spread, LEVEL, st.just("z"), st.just([(1, 2, "g3"), (1, 1, "all")]))
-       | st.builds(wire.Heard, LEVEL, st.just("a"), st.just((9, 9)), FEW, FEW, st.just([])))
+@given(
+    st.builds(wire.Ask, LEVEL, *[FEW] * 5, st.just([]), st.booleans())
+    | st.builds(wire.Grant, LEVEL, FEW, st.floats(0, 9), FEW, st.just(["g1"]))
+    | st.builds(wire.Spread, LEVEL, st.just("z"), st.just([(1, 2, "g3"), (1, 1, "all")]))
+    | st.builds(wire.Heard, LEVEL, st.just("a"), st.just((9, 9)), FEW, FEW, st.just([]))
+)
 def test_well_formed_messages_of_strangers_raise_nothing_and_give_no_lease(message):
     part, _, _ = alone()
     part.on_message(1.0, "stranger", 1, wire.encode(message))
@@ -167,6 +178,7 @@
 
 # ---- leases of one post, against what its holders may do ------------------------------------------------
 
+
 class Leases(RuleBasedStateMachine):
     """A post above with a lease of its own, holders below whose clocks differ by the drift allowed."""
 
@@ -222,9 +234,17 @@
 
 
 def run_machine(machine) -> None:
-    run_state_machine_as_test(machine, settings=settings(
-        derandomize=True, deadline=None, max_examples=80, stateful_step_count=30, database=None,
-        phases=(Phase.generate,)))  # a failure need not be made small
+    run_state_machine_as_test(
+        machine,
+        settings=settings(
+            derandomize=True,
+            deadline=None,
+            max_examples=80,
+            stateful_step_count=30,
+            database=None,
+            phases=(Phase.generate,),
+        ),
+    )  # a failure need not be made small
 
 
 def test_a_post_is_clear_only_when_all_below_are():
@@ -253,6 +273,7 @@
 
 # ---- faults at each step, one at a time ------------------------------------------------------------------
 
+
 @pytest.mark.parametrize("who", ["relay", "origin", "coordinator"])
 @pytest.mark.parametrize("steps", range(4))
 def test_a_kill_at_any_step_delays_a_purge_and_loses_none(who, steps):
@@ -286,11 +307,19 @@
 
 # ---- operators' files -----------------------------------------------------------------------------------
 
-@pytest.mark.parametrize("text, wrong", [
-    ('what = "group"', "group: missing"), ('what = "class"\nclass = "no"', "class: one of lookup"),
-    ('what = "each"', "what: one of"), ('what = "all"\ngroup = 1', "group: no such field"),
-    ("what", "Expected"), ('what = "group"\ngroup = -1', "group: must be"),
-    ('what = "group"\ngroup = "1"', "group: the number")])
+
+@pytest.mark.parametrize(
+    "text, wrong",
+    [
+        ('what = "group"', "group: missing"),
+        ('what = "class"\nclass = "no"', "class: one of lookup"),
+        ('what = "each"', "what: one of"),
+        ('what = "all"\ngroup = 1', "group: no such field"),
+        ("what", "Expected"),
+        ('what = "group"\ngroup = -1', "group: must be"),
+        ('what = "group"\ngroup = "1"', "group: the number"),
+    ],
+)
 def test_a_bad_file_is_named_by_its_field(text, wrong):
     with pytest.raises(PurgeFileTrouble, match=wrong):
         parse("f.toml", text.encode(), ("lookup",))
@@ -301,7 +330,7 @@
     (tmp_path / "a.toml").write_text('what = "group"\ngroup = 1041\nwhy = "prices"')
     (tmp_path / "b.toml").write_text('what = "nothing"')
     folder = Folder(str(tmp_path), lines.append)
-    order, = folder.read(("lookup",))
+    (order,) = folder.read(("lookup",))
     assert order.scope == "g17" and order.why == "operator: prices"
     assert len(lines) == 1 and "b.toml" in lines[0]
     assert Folder(str(tmp_path), lines.append).read(("lookup",)) == [order]  # not renamed: the same tag
--- a/tests/test_purges_fleet.py
+++ b/tests/test_purges_fleet.py
@@ -1,4 +1,5 @@
 """Purges over whole fleets on a virtual clock: no process serves what is older than a complete purge."""
+
 from __future__ import annotations
 
 import random
@@ -21,9 +22,11 @@
     script, at = [], 6.0
     while at < 0.7 * seconds:
         name, long = rng.choice(names), rng.uniform(2.0, 7.0)
-        script += [(at, "pause", name, long),
-                   (at + rng.choice((0.0, 0.005, 0.05, 0.2, 0.35)), "net.part", [name]),
-                   (at + long + rng.choice((0.0, 0.5)), "net.heal")]
+        script += [
+            (at, "pause", name, long),
+            (at + rng.choice((0.0, 0.005, 0.05, 0.2, 0.35)), "net.part", [name]),
+            (at + long + rng.choice((0.0, 0.5)), "net.heal"),
+        ]
         at += long + 3.0
     return [*script, (0.7 * seconds, "calm")]
 
@@ -74,6 +77,7 @@
 
 # ---- each checker can fail -----------------------------------------------------------------------------
 
+
 class KeepsWhatAPurgeHasPassed(Store):
     def put(self, now, key, result, size, stamp, until):
         return super().put(now, key, result, size, self.stamp(stamp.scopes[1:]), until)
--- a/tests/test_readme.py
+++ b/tests/test_readme.py
@@ -1,4 +1,5 @@
 """What the README shows runs as written; the module keeps its limits."""
+
 import ast
 import re
 import sys
--- a/tests/test_ready.py
+++ b/tests/test_ready.py
@@ -1,4 +1,5 @@
 """Real processes: ready without discovery, and alive with few descriptors left."""
+
 from __future__ import annotations
 
 import json
@@ -46,17 +47,42 @@
     def start(self, hosts: list[tuple[str, int]], sockets: int) -> None:
         """With a list that it knows, and so many descriptors."""
         path = self.folder / "node.json"
-        known = [{"host": host, "dial": f"127.0.0.1:{port}", "site": "z", "class": "k", "block": 0,
-                  "health": "in_service", "share": 4, "born_ms": 0} for host, port in hosts]
-        path.write_text(json.dumps({
-            "name": "n", "listen": "{}:{}".format(*self.address), "seed": "1", "limits": {"sockets": sockets},
-            "bulletin": "{}:{}".format(*self.discovery.getsockname()),
-            "known": {"no": 1, "items": [{"no": 1, "roster": {"seq": 1, "whole": True, "hosts": known}}]},
-            "settings": INFO | {"me": 0, "group_size": 1}}))
+        known = [
+            {
+                "host": host,
+                "dial": f"127.0.0.1:{port}",
+                "site": "z",
+                "class": "k",
+                "block": 0,
+                "health": "in_service",
+                "share": 4,
+                "born_ms": 0,
+            }
+            for host, port in hosts
+        ]
+        path.write_text(
+            json.dumps(
+                {
+                    "name": "n",
+                    "listen": "{}:{}".format(*self.address),
+                    "seed": "1",
+                    "limits": {"sockets": sockets},
+                    "bulletin": "{}:{}".format(*self.discovery.getsockname()),
+                    "known": {
+                        "no": 1,
+                        "items": [{"no": 1, "roster": {"seq": 1, "whole": True, "hosts": known}}],
+                    },
+                    "settings": INFO | {"me": 0, "group_size": 1},
+                }
+            )
+        )
         with open(self.folder / "log", "wb") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "aspenrill"], env=os.environ | {"NODE_CONFIG": str(path)}, stderr=log,
-                preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, sockets)))
+                [sys.executable, "-m", "aspenrill"],
+                env=os.environ | {"NODE_CONFIG": str(path)},
+                stderr=log,
+                preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, sockets)),
+            )
 
     def log(self) -> str:
         return (self.folder / "log").read_text()
@@ -74,8 +100,9 @@
         try:
             client = self.client()
             client.seqid = 1
-            client.conn.write(thrift.frame(thrift.CALL, "isWell", 1, thrift.field(2, 1, b"\0")),
-                              time.monotonic() + 5)
+            client.conn.write(
+                thrift.frame(thrift.CALL, "isWell", 1, thrift.field(2, 1, b"\0")), time.monotonic() + 5
+            )
             size = int.from_bytes(client.conn.read(4, time.monotonic() + 5), "big")
             told = thrift.read_message(client.conn.read(size, time.monotonic() + 5)).args
             return client if told[0][3] is True else None
@@ -165,6 +192,11 @@
 sys.meta_path.insert(0, Finder)
 """)
     env = {name: value for name, value in os.environ.items() if name != "NODE_CONFIG"}
-    ended = subprocess.run([sys.executable, "-m", "aspenrill"], timeout=WITHIN, capture_output=True,
-                           text=True, env=env | {"PYTHONPATH": f"{tmp_path}:{os.getcwd()}"})
+    ended = subprocess.run(
+        [sys.executable, "-m", "aspenrill"],
+        timeout=WITHIN,
+        capture_output=True,
+        text=True,
+        env=env | {"PYTHONPATH": f"{tmp_path}:{os.getcwd()}"},
+    )
     assert ended.returncode == 2 and "NODE_CONFIG: not set" in ended.stderr, ended
--- a/tests/test_release.py
+++ b/tests/test_release.py
@@ -1,4 +1,5 @@
 """Releases before whole front ends, each from its own configuration, while discovery moves."""
+
 from __future__ import annotations
 
 import json
@@ -19,14 +20,31 @@
 from standins.world import Act, HttpEngine
 
 FRONTS, WORDS = 14, ("in_service", "terminating", "terminated")
-INFO = {"classes": [
-    {"name": "lookup", "effect": "repeatable", "on_time_ns": 10**9, "give_up_ns": 5 * 10**9},
-    {"name": "booking", "effect": "by_key", "on_time_ns": 10**9, "give_up_ns": 5 * 10**9,
-     "window_ns": 15 * 10**9}],
-    "kinds": ["k"], "areas": ["z"], "tenants": [{"name": "main"}], "family_info": {"cores_by_kind": [8]},
-    "group_size": FRONTS, "limits": {"most_tries": 4, "may_probe": True, "cancel": True},
-    "prices": {"probe": 0.08}, "guarantees": {"start_capacity": 0.31, "cold_ns": 12 * 10**9,
-                                              "fall_multiple": 2.5, "fall_ns": 15 * 10**8}}
+INFO = {
+    "classes": [
+        {"name": "lookup", "effect": "repeatable", "on_time_ns": 10**9, "give_up_ns": 5 * 10**9},
+        {
+            "name": "booking",
+            "effect": "by_key",
+            "on_time_ns": 10**9,
+            "give_up_ns": 5 * 10**9,
+            "window_ns": 15 * 10**9,
+        },
+    ],
+    "kinds": ["k"],
+    "areas": ["z"],
+    "tenants": [{"name": "main"}],
+    "family_info": {"cores_by_kind": [8]},
+    "group_size": FRONTS,
+    "limits": {"most_tries": 4, "may_probe": True, "cancel": True},
+    "prices": {"probe": 0.08},
+    "guarantees": {
+        "start_capacity": 0.31,
+        "cold_ns": 12 * 10**9,
+        "fall_multiple": 2.5,
+        "fall_ns": 15 * 10**8,
+    },
+}
 
 
 class Feed:
@@ -48,7 +66,7 @@
             if not out and time.monotonic() > said + 1:
                 out = wire.HEAD.pack(9, last, wire.NOTHING)
             if out:
-                conn.write(out[:self.cut], time.monotonic() + 5)
+                conn.write(out[: self.cut], time.monotonic() + 5)
                 said = time.monotonic()
                 if self.cut is not None:
                     return  # it breaks off in the middle of what it tells
@@ -113,16 +131,46 @@
 
     def write(self, me: int) -> str:
         """The configuration of one front end as it is now; the path of its file."""
-        latest = {name: {"host": name, "dial": f"127.0.0.1:{port}", "site": "z", "class": "k", "block": 0,
-                         "health": WORDS[state], "share": 4, "born_ms": born}
-                  for name, port, state, born in self.told}
-        known = {"no": len(self.events), "items": [{"no": len(self.events), "roster": {
-            "seq": 1, "whole": True, "hosts": [h for h in latest.values() if h["health"] != WORDS[2]]}}]}
+        latest = {
+            name: {
+                "host": name,
+                "dial": f"127.0.0.1:{port}",
+                "site": "z",
+                "class": "k",
+                "block": 0,
+                "health": WORDS[state],
+                "share": 4,
+                "born_ms": born,
+            }
+            for name, port, state, born in self.told
+        }
+        known = {
+            "no": len(self.events),
+            "items": [
+                {
+                    "no": len(self.events),
+                    "roster": {
+                        "seq": 1,
+                        "whole": True,
+                        "hosts": [h for h in latest.values() if h["health"] != WORDS[2]],
+                    },
+                }
+            ],
+        }
         path = self.path / f"n{me}.json"
-        path.write_text(json.dumps({
-            "name": f"n{me}", "listen": "127.0.0.1:0", "seed": f"{me:x}", "limits": {"sockets": 256},
-            "bulletin": f"127.0.0.1:{self.feed.listener.address[1]}", "known": known,
-            "settings": INFO | {"me": me}}))
+        path.write_text(
+            json.dumps(
+                {
+                    "name": f"n{me}",
+                    "listen": "127.0.0.1:0",
+                    "seed": f"{me:x}",
+                    "limits": {"sockets": 256},
+                    "bulletin": f"127.0.0.1:{self.feed.listener.address[1]}",
+                    "known": known,
+                    "settings": INFO | {"me": me},
+                }
+            )
+        )
         return str(path)
 
     def front(self, me: int) -> Node:
@@ -159,8 +207,11 @@
         self.asked, self.busy = self.asked + 1, self.busy + 1
         node = self.nodes[number * 5 % FRONTS]
         try:
-            client = ThriftClient(SimpleNamespace(hub=self.hub, address=node.fronts[0][1].address),
-                                  ("lookup", "booking")[number % 2], 5.0)
+            client = ThriftClient(
+                SimpleNamespace(hub=self.hub, address=node.fronts[0][1].address),
+                ("lookup", "booking")[number % 2],
+                5.0,
+            )
             reply = act(client, number)
             self.ends[reply] += 1
             if reply not in ("served", "refused", "gone"):
@@ -202,14 +253,24 @@
     # did not read its configuration again, would go on sending there
     made = Release(tmp_path, 6)
     first = list(made.engines)
-    steps = [(0.5, made.replace, first[0], 1.2), (1.2, made.move), (1.6, made.replace, first[1], 1.2),
-             (2.2, made.replace, first[2], 1.2)]
+    steps = [
+        (0.5, made.replace, first[0], 1.2),
+        (1.2, made.move),
+        (1.6, made.replace, first[1], 1.2),
+        (2.2, made.replace, first[2], 1.2),
+    ]
     steps += [(0.6 + 0.25 * tenth, made.restart, tenth) for tenth in range(10)]
     made.play(4.5, steps, usual)
     assert set(made.ends) <= {"served", "refused"} and made.ends["served"] > 0.9 * made.asked, (
-        made.ends, made.odd)
-    late = [(name, at - drained) for name, drained in made.drains.items()
-            for at, _ in made.engines[name].began if at > drained + 0.9]
+        made.ends,
+        made.odd,
+    )
+    late = [
+        (name, at - drained)
+        for name, drained in made.drains.items()
+        for at, _ in made.engines[name].began
+        if at > drained + 0.9
+    ]
     assert not late and len(made.drains) == 3, late
     begun = Counter({name: len(engine.began) for name, engine in made.engines.items()})
     assert all(begun[name] > 3 for name in made.engines if name not in first), begun
@@ -235,9 +296,14 @@
         return usual(client, number)
 
     # the feed tells everything again and again, breaks off inside a list, and is late
-    steps += [(0.7, made.again), (1.0, setattr, made.feed, "cut", 40), (1.3, made.again),
-              (1.5, setattr, made.feed, "cut", None), (1.6, setattr, made.feed, "late", 0.3),
-              (1.9, made.again)]
+    steps += [
+        (0.7, made.again),
+        (1.0, setattr, made.feed, "cut", 40),
+        (1.3, made.again),
+        (1.5, setattr, made.feed, "cut", None),
+        (1.6, setattr, made.feed, "late", 0.3),
+        (1.9, made.again),
+    ]
     for engine in made.engines.values():
         engine.act = lambda statement: Act(after=0.04, spoilt=statement.endswith("3"))
     made.play(4.0, steps, act)
@@ -246,8 +312,12 @@
     began = Counter(statement for engine in made.engines.values() for _, statement in engine.began)
     assert max(began.values()) <= 4, began.most_common(3)
     assert sum("bulletin" in line for line in made.lines) >= FRONTS  # each was broken off, and asked again
-    late = [(name, at - drained) for name, drained in made.drains.items()
-            for at, _ in made.engines[name].began if at > drained + 2.0]
+    late = [
+        (name, at - drained)
+        for name, drained in made.drains.items()
+        for at, _ in made.engines[name].began
+        if at > drained + 2.0
+    ]
     assert not late, late
     new = [engine for name, engine in made.engines.items() if name not in first]
     assert len(new) == 6 and all(engine.began for engine in new), [len(e.began) for e in new]
--- a/tests/test_resolver.py
+++ b/tests/test_resolver.py
@@ -1,4 +1,5 @@
 """The resolver: its decisions on a virtual clock, and its sockets against a scripted name server."""
+
 from __future__ import annotations
 
 import random
@@ -25,6 +26,7 @@
 
 # ---- what is fresh ------------------------------------------------------------------------------------
 
+
 @pytest.mark.parametrize("ttl, life", [(0, 1.0), (0.2, 1.0), (60, 60.0), (10**6, 3600.0)])
 def test_lifetimes_are_kept_and_clamped(ttl, life):
     cache = Cache(Lifetimes(), random.Random(1))
@@ -40,15 +42,20 @@
 
 def test_a_lifetime_of_2_to_the_31_counts_as_none():
     # RFC 2181, 8: with the highest bit set it is 0, and never for ever
-    raw = (wire.HEAD.pack(1, 0x8000, 0, 1, 0, 0) + wire.encode_name(N("a.b.c"))
-           + wire.FIXED.pack(wire.A, wire.IN, 1 << 31, 4) + b"\x7f\0\0\1")
+    raw = (
+        wire.HEAD.pack(1, 0x8000, 0, 1, 0, 0)
+        + wire.encode_name(N("a.b.c"))
+        + wire.FIXED.pack(wire.A, wire.IN, 1 << 31, 4)
+        + b"\x7f\0\0\1"
+    )
     assert wire.read_reply(raw).records[0].ttl == 0
 
 
 def test_refreshes_are_spread():
     # front ends that began together must not ask together
-    times = {Cache(Lifetimes(), random.Random(seed)).store(0.0, NAME, 33, 0, (), 100).refresh
-             for seed in range(20)}
+    times = {
+        Cache(Lifetimes(), random.Random(seed)).store(0.0, NAME, 33, 0, (), 100).refresh for seed in range(20)
+    }
     assert len(times) == 20 and max(times) - min(times) > 5
 
 
@@ -69,6 +76,7 @@
 
 # ---- whom to ask, when: a virtual clock ---------------------------------------------------------------
 
+
 def test_servers_are_asked_in_order_and_those_that_fail_are_passed_by():
     some = servers()
 
@@ -90,8 +98,9 @@
 
 def test_a_look_up_is_bounded_however_its_questions_end():
     for took in (0.0, 0.4, 9.0):
-        found, asks, now = drive(look_up(0.0, NAME, wire.A, servers(), Patience()),
-                                 lambda n, a, t=took: (t, None))
+        found, asks, now = drive(
+            look_up(0.0, NAME, wire.A, servers(), Patience()), lambda n, a, t=took: (t, None)
+        )
         assert isinstance(found, Failed) and now <= 5.0 and len(asks) <= 6
 
 
@@ -101,47 +110,70 @@
         if ask.payload:
             return 0.01, reply_of(ask, code=code)
         return 0.01, reply_of(ask, wire.Record(ask.name, wire.A, 5, "127.0.0.1"))
+
     found, asks, _ = drive(look_up(0.0, NAME, wire.A, servers(), Patience()), world)
     assert found.records and [a[4] for a in asks] == [True, False] and {a[1] for a in asks} == {1}
 
 
 @pytest.mark.parametrize("code", [2, 5])
 def test_codes_2_and_5_are_failures_of_a_server_and_no_empty_list(code):
-    found, asks, _ = drive(look_up(0.0, NAME, wire.A, servers(2), Patience()),
-                           lambda n, a: (0.01, reply_of(a, code=code)))
+    found, asks, _ = drive(
+        look_up(0.0, NAME, wire.A, servers(2), Patience()), lambda n, a: (0.01, reply_of(a, code=code))
+    )
     assert isinstance(found, Failed) and [a[1] for a in asks] == [1, 2, 1, 2] and f"code {code}" in str(found)
 
 
 def test_no_such_name_an_empty_answer_and_a_referral_differ():
     soa, ns = wire.Record(N("x.y.z"), wire.SOA, 60, (1, 7)), wire.Record(N("x.y.z"), wire.NS, 60, N("n.s.t"))
-    ends = [drive(look_up(0.0, NAME, wire.A, servers(), Patience()), lambda n, a, w=w: (0.01, w(a)))[0]
-            for w in (
-        lambda a: reply_of(a, code=3, authority=(soa,)), lambda a: reply_of(a, authority=(soa,)),
-        lambda a: reply_of(a), lambda a: reply_of(a, authority=(ns,)))]
+    ends = [
+        drive(look_up(0.0, NAME, wire.A, servers(), Patience()), lambda n, a, w=w: (0.01, w(a)))[0]
+        for w in (
+            lambda a: reply_of(a, code=3, authority=(soa,)),
+            lambda a: reply_of(a, authority=(soa,)),
+            lambda a: reply_of(a),
+            lambda a: reply_of(a, authority=(ns,)),
+        )
+    ]
     assert [(e.code, e.ttl) for e in ends[:3]] == [(3, 7), (0, 7), (0, 0)] and isinstance(ends[3], Failed)
 
 
 def test_aliases_are_followed_across_answers_and_their_circles_found():
-    rows = {"a.x.y.": record("a.x.y", wire.CNAME, N("b.x.y"), 9),
-            "b.x.y.": record("b.x.y", wire.CNAME, N("c.x.y"), 4),
-            "c.x.y.": record("c.x.y", wire.A, "127.0.0.1", 60)}
-    found, asks, _ = drive(look_up(0.0, N("a.x.y"), wire.A, servers(), Patience()),
-                           lambda n, a: (0.01, reply_of(a, rows[wire.text_of(a.name)])))
+    rows = {
+        "a.x.y.": record("a.x.y", wire.CNAME, N("b.x.y"), 9),
+        "b.x.y.": record("b.x.y", wire.CNAME, N("c.x.y"), 4),
+        "c.x.y.": record("c.x.y", wire.A, "127.0.0.1", 60),
+    }
+    found, asks, _ = drive(
+        look_up(0.0, N("a.x.y"), wire.A, servers(), Patience()),
+        lambda n, a: (0.01, reply_of(a, rows[wire.text_of(a.name)])),
+    )
     assert [r.data for r in found.records] == ["127.0.0.1"] and found.ttl == 4 and len(asks) == 3
     rows["c.x.y."] = record("c.x.y", wire.CNAME, N("A.x.y"))
-    found, _, _ = drive(look_up(0.0, N("a.x.y"), wire.A, servers(), Patience()),
-                        lambda n, a: (0.01, reply_of(a, *rows.values())))
+    found, _, _ = drive(
+        look_up(0.0, N("a.x.y"), wire.A, servers(), Patience()),
+        lambda n, a: (0.01, reply_of(a, *rows.values())),
+    )
     assert isinstance(found, Failed) and "circle" in str(found)
     chain = [record(f"h{i}.x.y", wire.CNAME, N(f"h{i + 1}.x.y")) for i in range(40)]
-    found, _, _ = drive(look_up(0.0, N("h0.x.y"), wire.A, servers(), Patience()),
-                        lambda n, a: (0.01, reply_of(a, *chain)))
+    found, _, _ = drive(
+        look_up(0.0, N("h0.x.y"), wire.A, servers(), Patience()), lambda n, a: (0.01, reply_of(a, *chain))
+    )
     assert isinstance(found, Failed) and "more than 8" in str(found)
 
 
 def test_only_records_that_answer_count():
-    reply = wire.Reply(1, 0, False, (NAME, wire.A), (
-        record("evil.x.y", wire.A, "6.6.6.6"), wire.Record(NAME, wire.A, 5, "127.0.0.1"),
-        wire.Record(NAME, wire.TXT, 5, ("x",))), (wire.Record(NAME, wire.A, 5, "6.6.6.7"),))
+    reply = wire.Reply(
+        1,
+        0,
+        False,
+        (NAME, wire.A),
+        (
+            record("evil.x.y", wire.A, "6.6.6.6"),
+            wire.Record(NAME, wire.A, 5, "127.0.0.1"),
+            wire.Record(NAME, wire.TXT, 5, ("x",)),
+        ),
+        (wire.Record(NAME, wire.A, 5, "6.6.6.7"),),
+    )
     assert [r.data for r in follow(reply, NAME, wire.A, [])[1]] == ["127.0.0.1"]
 
 
@@ -151,8 +183,9 @@
     cache.store(0.0, NAME, wire.SRV, 0, (wire.Record(NAME, wire.SRV, 5, (0, 0, 1, N("h.x.y"))),), 5)
     now, ages, asks = 5.0, [], 0
     while now < 65.0:
-        found, asked, now = drive(look_up(now, NAME, wire.SRV, some, Patience()),
-                                  lambda n, a: (9.0, None), now)
+        found, asked, now = drive(
+            look_up(now, NAME, wire.SRV, some, Patience()), lambda n, a: (9.0, None), now
+        )
         assert isinstance(found, Failed)
         last = cache.last(now, NAME, wire.SRV, str(found))
         assert last.stale and last.records
@@ -160,13 +193,17 @@
         asks += len(asked)
         now += 5.0
     assert ages == sorted(ages) and ages[-1] > 55 and asks < 40
-    found, asked, _ = drive(look_up(now, NAME, wire.SRV, some, Patience()), lambda n, a: (
-        0.01, reply_of(a, wire.Record(NAME, wire.SRV, 5, (0, 0, 1, N("h.x.y"))))), now)
+    found, asked, _ = drive(
+        look_up(now, NAME, wire.SRV, some, Patience()),
+        lambda n, a: (0.01, reply_of(a, wire.Record(NAME, wire.SRV, 5, (0, 0, 1, N("h.x.y"))))),
+        now,
+    )
     assert found.records and len(asked) == 1
 
 
 # ---- sockets ------------------------------------------------------------------------------------------
 
+
 def world(count: int = 1, host: str = "127.0.0.1"):
     hub = Hub(lambda text: None)
     some = [NameServer(hub, host) for _ in range(count)]
@@ -188,16 +225,27 @@
         assert data_of(first) == [(0, 5, 1433, N("h.x.example"))] and resolver.lookup(NAME, wire.SRV) is first
         assert len(server.asked) == 1
         assert resolver.lookup(NAME, wire.SRV, anew=True) is not first and len(server.asked) == 2
+
     play(hub, scene)
 
 
-@pytest.mark.parametrize("act", [
-    Act(delay=0.05, number=7), Act(delay=0.05, question="other.example."), Act(lose=True),
-    Act(raw=b"\0" * 40),
-    Act(code=2), Act(code=5), Act(truncate=True, stream="stall"), Act(truncate=True, stream="cut"),
-    Act(truncate=True, stream="lie"), Act(truncate=True, stream="refuse"),
-    Act(raw=b"\0\1\x84\0\0\1\0\1\0\0\0\0\xc0\x0c")],
-    ids=["number", "question", "lost", "noise", "2", "5", "stall", "cut", "lie", "refuse", "circle"])
+@pytest.mark.parametrize(
+    "act",
+    [
+        Act(delay=0.05, number=7),
+        Act(delay=0.05, question="other.example."),
+        Act(lose=True),
+        Act(raw=b"\0" * 40),
+        Act(code=2),
+        Act(code=5),
+        Act(truncate=True, stream="stall"),
+        Act(truncate=True, stream="cut"),
+        Act(truncate=True, stream="lie"),
+        Act(truncate=True, stream="refuse"),
+        Act(raw=b"\0\1\x84\0\0\1\0\1\0\0\0\0\xc0\x0c"),
+    ],
+    ids=["number", "question", "lost", "noise", "2", "5", "stall", "cut", "lie", "refuse", "circle"],
+)
 def test_what_one_server_spoils_another_answers(act):
     hub, [bad, good], resolver = world(2)
     bad.act = lambda asked: act
@@ -207,6 +255,7 @@
         assert data_of(resolver.lookup(NAME, wire.SRV)) == [(0, 5, 1433, N("h.x.example"))]
         assert time.monotonic() - began < 1.5 and len(good.asked) == 1
         assert resolver.servers.all[0].failures == 1
+
     play(hub, scene)
 
 
@@ -233,6 +282,7 @@
 
     def scene():
         assert data_of(resolver.lookup(NAME, wire.SRV)) == [(0, 5, 1433, N("h.x.example"))]
+
     play(hub, scene)
 
 
@@ -243,18 +293,23 @@
     def scene():
         assert data_of(resolver.lookup(NAME, wire.SRV)) == [(0, 5, 1433, N("h.x.example"))]
         assert [asked.stream for asked in server.asked] == [False, True]
+
     play(hub, scene)
 
 
 def test_an_answer_of_64_kb_with_1000_targets_comes_by_stream():
     hub, [server], resolver = world()
     resolver.patience = Patience(5.0, 12.0)  # the stand-in is slow at it
-    server.put("_tds._tcp.x.example.", "SRV", *(f"0 1 {port} engine-number-{port:05}.with.a.long.name.x."
-                                                for port in range(1, 1001)))
+    server.put(
+        "_tds._tcp.x.example.",
+        "SRV",
+        *(f"0 1 {port} engine-number-{port:05}.with.a.long.name.x." for port in range(1, 1001)),
+    )
 
     def scene():
         found = resolver.lookup(NAME, wire.SRV)
         assert len(found.records) == 1000 and [a.stream for a in server.asked] == [False, True]
+
     play(hub, scene)
 
 
@@ -267,6 +322,7 @@
         for _ in range(12):
             resolver.lookup(NAME, wire.SRV, anew=True)
         assert len({number for number, _ in seen}) > 10 and len({port for _, port in seen}) > 10
+
     play(hub, scene)
 
 
@@ -283,10 +339,12 @@
         hub.sleep(0.3)
         assert len(found) == 8 and len(server.asked) == 1
         began = time.monotonic()
-        many = resolver.many([(N(f"h{at}.x.example"), wire.A) for at in range(40)]
-                             + [(N("no.x.example"), wire.A)])
+        many = resolver.many(
+            [(N(f"h{at}.x.example"), wire.A) for at in range(40)] + [(N("no.x.example"), wire.A)]
+        )
         assert [data_of(a) for a in many[:40]] == [["127.0.0.1"]] * 40 and many[40].code == 3
         assert 0.25 < time.monotonic() - began < 1.5  # 16 at a time
+
     play(hub, scene)
 
 
@@ -302,6 +360,7 @@
         assert late.stale and data_of(late) and late.age(time.monotonic()) > 1 and "no answer" in late.why
         with pytest.raises(Failed):
             resolver.lookup(N("never.x.example"), wire.SRV)
+
     play(hub, scene)
 
 
@@ -317,4 +376,5 @@
             resolver.lookup(NAME, wire.SRV)
         monkeypatch.undo()
         assert resolver.lookup(NAME, wire.SRV).records
+
     play(hub, scene)
--- a/tests/test_rosters.py
+++ b/tests/test_rosters.py
@@ -1,4 +1,5 @@
 """Where the list of engines comes from: the bulletin's frames, and what TXT records tell."""
+
 from __future__ import annotations
 
 import struct
@@ -39,8 +40,13 @@
     # news of a drain must not be missed by a connection that has fallen silent, nor be told twice
     monkeypatch.setattr(follower, "SILENT", 0.3)
     hub, greetings, news = Hub(lambda text: None), [], []
-    says = [frame(5, 2, RECORD) + frame(5, 0), b"", frame(5, 2, RECORD) + frame(6, 2, RECORD)[:11],
-            frame(6, 2, RECORD) + frame(9, 2, RECORD), frame(9, 1, RECORD)]
+    says = [
+        frame(5, 2, RECORD) + frame(5, 0),
+        b"",
+        frame(5, 2, RECORD) + frame(6, 2, RECORD)[:11],
+        frame(6, 2, RECORD) + frame(9, 2, RECORD),
+        frame(9, 1, RECORD),
+    ]
 
     def serve(conn: Connection) -> None:
         greetings.append(struct.unpack(">Q", conn.read(8, time.monotonic() + 5))[0])
@@ -82,6 +88,7 @@
             asked.append((name, number))
             conn.write(frame(number + 1, 2, RECORD), time.monotonic() + 5)
             conn.read(1, None)
+
         return Listener(hub, ("127.0.0.1", 0), serve, 10, name)
 
     old, new = serving("old"), serving("new")
@@ -99,13 +106,20 @@
         hub.sleep(0.05)
         bulletin_.move(old.address)
         until(hub, lambda: len(news) == 3, 1.0)
+
     play(hub, scene)
     assert asked == [("old", 4), ("new", 5), ("old", 6)]
 
 
-@pytest.mark.parametrize("texts, told", [
-    ((), {}), (("kind=a", "KIND=b"), {"kind": "a"}), (("flag",), {"flag": ""}),
-    (("=x", "a=b=c"), {"a": "b=c"})])
+@pytest.mark.parametrize(
+    "texts, told",
+    [
+        ((), {}),
+        (("kind=a", "KIND=b"), {"kind": "a"}),
+        (("flag",), {"flag": ""}),
+        (("=x", "a=b=c"), {"a": "b=c"}),
+    ],
+)
 def test_txt_properties(texts, told):
     assert properties(texts) == told
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,4 +1,5 @@
 """Property: whatever legal events come, the actions keep the seven rules."""
+
 from __future__ import annotations
 
 import random
@@ -64,7 +65,8 @@
         spec = self.set.classes[ask.cls]
         if self.ran(ask.request):
             assert spec.effect is Effect.SAFE or (
-                spec.effect is Effect.KEYED and spec.dedup_scope == "all"), "refusal that may do harm"
+                spec.effect is Effect.KEYED and spec.dedup_scope == "all"
+            ), "refusal that may do harm"
 
     def check_send(self, send: api.Send) -> None:
         ask, came = self.asks[send.request]
@@ -83,14 +85,16 @@
                 assert self.now < ran[0][1] + spec.dedup_window, "after the window"
                 first = self.entries[ran[0][0]]
                 assert spec.dedup_scope == "all" or getattr(first, spec.dedup_scope) == getattr(
-                    entry, spec.dedup_scope), "outside the group"
+                    entry, spec.dedup_scope
+                ), "outside the group"
         if before:
             self.extra.append(self.now)
             if self.set.retry_ratio is not None:
                 span = self.now - self.set.retry_span
                 count = sum(t > span for t in self.extra)
                 assert count <= self.set.retry_free + self.set.retry_ratio * sum(
-                    t > span for t in self.taken), "over the retry budget"
+                    t > span for t in self.taken
+                ), "over the retry budget"
         if spec.in_order and ask.key is not None and self.set.key_rest is not None:
             for earlier in self.order[ask.key]:
                 if earlier == send.request:
@@ -104,8 +108,10 @@
             line.append((self.now, work))
             bears = self.set.fall_multiple * self.set.start_capacity * self.set.cores_by_kind[entry.kind]
             dealt = bears / self.set.gateways * (self.now - entry.started)
-            self.usual = [max(pair) for pair in zip(
-                self.usual, (c.usual_work() for c in self.gateway.classes), strict=True)]
+            self.usual = [
+                max(pair)
+                for pair in zip(self.usual, (c.usual_work() for c in self.gateway.classes), strict=True)
+            ]
             most = 2 * sum(self.usual)  # those before were dealt out by what was usual then
             assert sum(w for _, w in line) <= dealt + most, "more than its turns at a cold engine"
         before.append((send.engine, self.now, None))
@@ -123,8 +129,18 @@
         if outcome.may_still_run and ask.key is not None and self.set.key_rest is not None:
             self.rest[ask.key] = self.now + self.set.key_rest
         work = self.rng.random() * 3 if self.set.costs_told and outcome is Outcome.OK else None
-        self.tell(api.AttemptEnded(request, attempt, engine, outcome, self.now - sent, closed, work=work,
-                                   memory_mb=100 * self.rng.random() if work else None))
+        self.tell(
+            api.AttemptEnded(
+                request,
+                attempt,
+                engine,
+                outcome,
+                self.now - sent,
+                closed,
+                work=work,
+                memory_mb=100 * self.rng.random() if work else None,
+            )
+        )
 
     def step(self) -> None:
         self.now += self.rng.choice([0.0, 0.005, 0.005, 0.015])
@@ -143,9 +159,15 @@
             n = len(self.asks)
             cls = self.rng.randrange(len(self.set.classes))
             spec = self.set.classes[cls]
-            ask = api.Request(f"r{n}", cls, self.rng.choice([0.001, 0.3, 1.0]) * spec.patience,
-                              key=self.rng.choice([None, "a", "b"]), memory_mb=self.rng.choice([0.0, 64.0]),
-                              work=self.rng.choice([None, 0.1, 2.0]), data_set=self.rng.randrange(4))
+            ask = api.Request(
+                f"r{n}",
+                cls,
+                self.rng.choice([0.001, 0.3, 1.0]) * spec.patience,
+                key=self.rng.choice([None, "a", "b"]),
+                memory_mb=self.rng.choice([0.0, 64.0]),
+                work=self.rng.choice([None, 0.1, 2.0]),
+                data_set=self.rng.randrange(4),
+            )
             self.asks[ask.request] = (ask, self.now)
             self.taken.append(self.now)
             if spec.in_order and ask.key is not None:
@@ -181,30 +203,66 @@
 
 
 def classes(scope: str, order: bool) -> tuple[api.QueryClass, ...]:
-    return (api.QueryClass(0.5, 2.0, Effect.SAFE, threads=1, waits_for_loads=True, aim_stretch=1.5),
-            api.QueryClass(1.0, 3.0, Effect.UNSAFE, worth=5, threads=2, only_kinds=(0,)),
-            api.QueryClass(1.0, 3.0, Effect.KEYED, worth=5, threads=2, dedup_scope=scope, dedup_window=1.0,
-                           in_order=order, is_load=True),
-            api.QueryClass(0.5, 2.0, Effect.SAFE, only_zones=(1,)))
+    return (
+        api.QueryClass(0.5, 2.0, Effect.SAFE, threads=1, waits_for_loads=True, aim_stretch=1.5),
+        api.QueryClass(1.0, 3.0, Effect.UNSAFE, worth=5, threads=2, only_kinds=(0,)),
+        api.QueryClass(
+            1.0,
+            3.0,
+            Effect.KEYED,
+            worth=5,
+            threads=2,
+            dedup_scope=scope,
+            dedup_window=1.0,
+            in_order=order,
+            is_load=True,
+        ),
+        api.QueryClass(0.5, 2.0, Effect.SAFE, only_zones=(1,)),
+    )
 
 
 @settings(derandomize=True, deadline=None, max_examples=60, database=None)
-@given(seed=st.integers(0, 10**6), scope=st.sampled_from(["all", "zone", "cell"]), order=st.booleans(),
-       budget=st.booleans(), cancel=st.booleans(), told=st.booleans(), gateways=st.integers(1, 12),
-       ask=st.booleans(), probe=st.booleans())
-def test_rules_hold_under_any_events(seed, scope, order, budget, cancel, told, gateways, ask,
-                                     probe):
+@given(
+    seed=st.integers(0, 10**6),
+    scope=st.sampled_from(["all", "zone", "cell"]),
+    order=st.booleans(),
+    budget=st.booleans(),
+    cancel=st.booleans(),
+    told=st.booleans(),
+    gateways=st.integers(1, 12),
+    ask=st.booleans(),
+    probe=st.booleans(),
+)
+def test_rules_hold_under_any_events(seed, scope, order, budget, cancel, told, gateways, ask, probe):
     setup = api.Settings(
-        classes=classes(scope, order), cores_by_kind=(4, 8), gateways=gateways, may_cancel=cancel,
-        may_tell=not cancel, tell_price=0.01, shortage_pages=ask, memory_by_kind=(4096.0, 8192.0),
-        costs_told=told, grants_heeded=told, priorities_heeded=told,
-        longest_come_back=1.0, start_capacity=0.3, cold_for=10.0, fall_multiple=3.0, fall_window=2.0,
-        key_rest=0.3 if order else None, retry_free=2 if budget else None,
-        retry_ratio=0.05 if budget else None, retry_span=5.0, ask_for_list=ask, may_probe=probe,
-        report_fields=("util",) if probe else ())
+        classes=classes(scope, order),
+        cores_by_kind=(4, 8),
+        gateways=gateways,
+        may_cancel=cancel,
+        may_tell=not cancel,
+        tell_price=0.01,
+        shortage_pages=ask,
+        memory_by_kind=(4096.0, 8192.0),
+        costs_told=told,
+        grants_heeded=told,
+        priorities_heeded=told,
+        longest_come_back=1.0,
+        start_capacity=0.3,
+        cold_for=10.0,
+        fall_multiple=3.0,
+        fall_window=2.0,
+        key_rest=0.3 if order else None,
+        retry_free=2 if budget else None,
+        retry_ratio=0.05 if budget else None,
+        retry_span=5.0,
+        ask_for_list=ask,
+        may_probe=probe,
+        report_fields=("util",) if probe else (),
+    )
     judge = Judge(seed, setup)
-    judge.entries = {f"e{i}": api.EngineEntry(f"e{i}", EngineState.LIVE, i % 2, i % 2, i % 2)
-                     for i in range(4)}
+    judge.entries = {
+        f"e{i}": api.EngineEntry(f"e{i}", EngineState.LIVE, i % 2, i % 2, i % 2) for i in range(4)
+    }
     judge.tell(api.ListUpdate(ListMode.REMEMBERED, tuple(judge.entries.values())))
     for _ in range(600):
         judge.step()
--- a/tests/test_scarcity.py
+++ b/tests/test_scarcity.py
@@ -1,4 +1,5 @@
 """What the system lacks for a moment: a front end starts, reads its configuration and drains all the same."""
+
 from __future__ import annotations
 
 import errno
@@ -31,6 +32,7 @@
         if left[0] >= 0:
             raise OSError(code, "no")
         return "made"
+
     return call
 
 
@@ -74,9 +76,18 @@
     hub, path = Hub(logged.append), tmp_path / "node.json"
 
     def write(bulletin: str) -> None:
-        path.write_text(json.dumps({
-            "name": "n", "listen": "127.0.0.1:0", "seed": "1", "bulletin": bulletin, "settings": SETTINGS,
-            "known": {"no": 1, "items": [{"no": 1, "roster": {"whole": True, "hosts": []}}]}}))
+        path.write_text(
+            json.dumps(
+                {
+                    "name": "n",
+                    "listen": "127.0.0.1:0",
+                    "seed": "1",
+                    "bulletin": bulletin,
+                    "settings": SETTINGS,
+                    "known": {"no": 1, "items": [{"no": 1, "roster": {"whole": True, "hosts": []}}]},
+                }
+            )
+        )
 
     write("127.0.0.1:9")
     node = platform(hub, {"NODE_CONFIG": str(path)})
@@ -99,8 +110,9 @@
 @pytest.mark.parametrize("code", [errno.EMFILE, errno.ENOBUFS, errno.EPROTO, errno.ENETDOWN, errno.EINTR])
 def test_a_listener_that_drains_takes_its_backlog_though_accept_fails(code):
     hub, served = Hub(lambda text: None), []
-    listener = Listener(hub, ("127.0.0.1", 0), lambda conn: served.append(conn.read(1, time.monotonic() + 5)),
-                        10, "front")
+    listener = Listener(
+        hub, ("127.0.0.1", 0), lambda conn: served.append(conn.read(1, time.monotonic() + 5)), 10, "front"
+    )
     real, failures = listener.sock, [code] * 5
 
     class Failing:
--- a/tests/test_sources.py
+++ b/tests/test_sources.py
@@ -1,4 +1,5 @@
 """Sources on sockets: scripted name servers, the merged list, and engines whose own logs tell what came."""
+
 from __future__ import annotations
 
 import time
@@ -38,6 +39,7 @@
             assert client.ask("select 1").rows == ROWS
         assert max(at for at, _ in a.began) < told + 0.5 and max(at for at, _ in b.began) > told + 1.5
         assert len(m.server.asked) > asked, "the records were not asked for again meanwhile"
+
     m.run(play)
 
 
@@ -65,6 +67,7 @@
             assert client.ask("select 1").rows == ROWS
         assert max(at for at, _ in gone.began) < learned + 0.05
         assert report.read(10).rows == ROWS and not gone.stopped  # what it has, it ends
+
     m.run(play)
 
 
@@ -86,13 +89,22 @@
         m.server.act = lambda asked: Act()
         m.listed(*m.engines)
         assert any("answers again" in line for line in m.world.logged)
+
     m.run(play)
 
 
-@pytest.mark.parametrize("act, kept", [
-    (Act(code=3), False), (Act(), False), (Act(code=2), True), (Act(code=5), True),
-    (Act(truncate=True, stream="stall"), True), (Act(truncate=True, stream="cut"), True)],
-    ids=["NXDOMAIN", "empty", "code 2", "code 5", "TCP stalls", "TCP cut"])
+@pytest.mark.parametrize(
+    "act, kept",
+    [
+        (Act(code=3), False),
+        (Act(), False),
+        (Act(code=2), True),
+        (Act(code=5), True),
+        (Act(truncate=True, stream="stall"), True),
+        (Act(truncate=True, stream="cut"), True),
+    ],
+    ids=["NXDOMAIN", "empty", "code 2", "code 5", "TCP stalls", "TCP cut"],
+)
 def test_no_such_name_an_empty_answer_and_failures_differ(act, kept):
     # "there is none" counts once a second look says so too; a failure never does
     m = Merged("thrift", 3, "srv")
@@ -113,6 +125,7 @@
         else:
             m.listed()
             assert sum("second look" in line for line in m.world.logged) == 2
+
     m.run(play)
 
 
@@ -136,13 +149,15 @@
         report.send("select long from sales_1.x")
         m.world.until(lambda: engine.running)
         m.server.put(SD, "PTR", f"new.{SD}")
-        m.world.until(lambda: any("new" in name and p.takes_work for name, p in
-                                  m.world.node.owner.peers.items()))
+        m.world.until(
+            lambda: any("new" in name and p.takes_work for name, p in m.world.node.owner.peers.items())
+        )
         assert client.ask("select 2").rows == ROWS
         assert report.read(10).rows == ROWS and not engine.stopped
         now = m.world.node.owner.peers[f"new.{SD}".rstrip(".")]
         assert now is not before and now.started > 0 and not before.idle
         assert idle and now.idle and not set(idle) & set(now.idle)
+
     m.run(play)
 
 
@@ -163,6 +178,7 @@
         m.instance("b", b, "state=draining")
         m.listed(a)
         assert m.world.node.owner.peers[f"b.{SD}".rstrip(".")].state is api.EngineState.DRAINING
+
     m.run(play)
 
 
@@ -178,6 +194,7 @@
             assert m.world.client().ask("select 1").rows == ROWS
         assert all(e.began for e in m.engines)
         assert all(":" in p.address[0] for p in m.world.node.owner.peers.values())
+
     m.run(play)
 
 
@@ -186,8 +203,13 @@
     first, second = m.engines[:2], m.engines[2:]
 
     def play():
-        m.server.srv(SERVICE, *((0 if e in first else 7, 5, e.listener.address[1], f"{e.name}.example.",
-                                 "127.0.0.1") for e in m.engines))
+        m.server.srv(
+            SERVICE,
+            *(
+                (0 if e in first else 7, 5, e.listener.address[1], f"{e.name}.example.", "127.0.0.1")
+                for e in m.engines
+            ),
+        )
         m.begin()
         m.listed(*first)
         client = m.world.client()
@@ -204,6 +226,7 @@
         assert set(kinds) <= {"served", "refused", "failed"}
         cold = [p for p in m.world.node.owner.peers.values() if p.started > time.monotonic() - 10]
         assert {p.address[1] for p in cold} == {e.listener.address[1] for e in second}
+
     m.run(play)
 
 
@@ -239,6 +262,7 @@
             able = 0.31 + 0.69 * max(0.0, begin - announced) / 12
             assert sent <= 2.5 * able * cores * 1.5, f"{sent:.2f} s of work in a window, {able:.2f} able"
         assert len(warm.began) > 2 * len(cold.began)
+
     lead.run(play)
 
 
@@ -259,8 +283,13 @@
         other.zone, other.act = m.server.zone, lambda asked: Act(delay=0.15)
         records = replace(m.sources.sources[1], name="others")
         m.server.act = lambda asked: Act(lose=True)
-        m.gathering.change(replace(m.sources, sources=(records, ROSTER), resolvers=(
-            replace(m.resolver, servers=(other.address,)),)))
+        m.gathering.change(
+            replace(
+                m.sources,
+                sources=(records, ROSTER),
+                resolvers=(replace(m.resolver, servers=(other.address,)),),
+            )
+        )
         m.world.until(lambda: other.asked)
         assert m.live == {e.listener.address[1] for e in m.engines}
         m.hub.sleep(0.6)
@@ -270,4 +299,5 @@
         asked = len(m.server.asked)
         m.hub.sleep(1.2)
         assert len(m.server.asked) == asked, "the old resolver is still asked"
+
     m.run(play)
--- a/tests/test_sources_users.py
+++ b/tests/test_sources_users.py
@@ -1,4 +1,5 @@
 """Who uses sources: the module by their weights, a node of the platform, and the tool."""
+
 from __future__ import annotations
 
 import json
@@ -21,14 +22,22 @@
 
 # ---- the module: weights ------------------------------------------------------------------------------
 
-@pytest.mark.parametrize("weights, busy", [
-    ((1, 3), False), ((1, 3), True), ((10, 30, 0), True), ((0, 0), False), ((None, 2, 2), True)])
+
+@pytest.mark.parametrize(
+    "weights, busy",
+    [((1, 3), False), ((1, 3), True), ((10, 30, 0), True), ((0, 0), False), ((None, 2, 2), True)],
+)
 def test_srv_weights_reach_the_module_as_shares(weights, busy):
     # RFC 2782: chosen in proportion, 0 seldom, and as often as any where all are 0
     spec = api.QueryClass(1.0, 5.0, api.Effect.SAFE)
     gateway = Gateway(api.Settings((spec,), (1000,)), 3, 0.0)
-    gateway.handle(0.0, api.ListUpdate(api.ListMode.COMPLETE, tuple(
-        api.EngineEntry(f"e{i}", api.EngineState.LIVE, weight=w) for i, w in enumerate(weights))))
+    gateway.handle(
+        0.0,
+        api.ListUpdate(
+            api.ListMode.COMPLETE,
+            tuple(api.EngineEntry(f"e{i}", api.EngineState.LIVE, weight=w) for i, w in enumerate(weights)),
+        ),
+    )
     sent, now, out = [0] * len(weights), 0.0, []
     for at in range(2000):
         now += 0.01
@@ -38,8 +47,9 @@
                 out.append(action)
         while len(out) > (40 if busy else 0):
             one = out.pop(0)
-            gateway.handle(now, api.AttemptEnded(one.request, 0, one.engine, api.Outcome.OK, 0.01, True,
-                                                 0.01))
+            gateway.handle(
+                now, api.AttemptEnded(one.request, 0, one.engine, api.Outcome.OK, 0.01, True, 0.01)
+            )
     stated = [w for w in weights if w is not None]
     mean = sum(stated) / len(stated) or 1
     wanted = [1.0 if w is None or not sum(stated) else max(0.01, w / mean) for w in weights]
@@ -49,7 +59,7 @@
 
 # ---- platform and tool --------------------------------------------------------------------------------
 
-FILE = '''enabled = true
+FILE = """enabled = true
 [[source]]
 name = "roster"
 type = "bulletin"
@@ -59,7 +69,7 @@
 service = "_data._tcp.x.example"
 [[resolver]]
 servers = ["@"]
-'''
+"""
 
 
 def test_a_node_of_the_platform_with_further_sources(tmp_path):
@@ -67,9 +77,25 @@
     hub.log = lines.append
     server = NameServer(hub)
     server.srv(SERVICE, (0, 1, 7001, "a.example.", "127.0.0.1"), (0, 1, 7002, "b.example.", "127.0.0.1"))
-    item = {"no": 1, "roster": {"seq": 1, "whole": True, "hosts": [
-        {"host": "s-00000001", "dial": "127.0.0.1:7001", "site": "z", "class": "k", "block": 0,
-         "health": "terminating", "share": 1, "born_ms": 0}]}}
+    item = {
+        "no": 1,
+        "roster": {
+            "seq": 1,
+            "whole": True,
+            "hosts": [
+                {
+                    "host": "s-00000001",
+                    "dial": "127.0.0.1:7001",
+                    "site": "z",
+                    "class": "k",
+                    "block": 0,
+                    "health": "terminating",
+                    "share": 1,
+                    "born_ms": 0,
+                }
+            ],
+        },
+    }
     path, table = tmp_path / "config.json", tmp_path / "sources.toml"
     good = FILE.replace("@", f"127.0.0.1:{server.address[1]}")
     path.write_text(json.dumps(CONFIG | {"settings": INFO, "known": {"no": 1, "items": [item]}}))
@@ -92,9 +118,11 @@
 
 
 def test_a_node_of_the_platform_imports_nothing_that_it_does_not_use():
-    code = ("import sys; from aspenrill import start; print(' '.join(m for m in sys.modules if m.startswith("
-            "('aspenrill.resolver', 'aspenrill.membership', 'aspenrill.sources', 'aspenrill.application', "
-            "'aspenrill.gathering', 'aspenrill.roster.dnssd', 'aspenrill.sidecar', 'netaddr'))))")
+    code = (
+        "import sys; from aspenrill import start; print(' '.join(m for m in sys.modules if m.startswith("
+        "('aspenrill.resolver', 'aspenrill.membership', 'aspenrill.sources', 'aspenrill.application', "
+        "'aspenrill.gathering', 'aspenrill.roster.dnssd', 'aspenrill.sidecar', 'netaddr'))))"
+    )
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=60)
     assert done.returncode == 0 and done.stdout.strip() == "", done
 
@@ -102,9 +130,15 @@
 def test_the_tool_tells_what_each_source_says_and_why_an_engine_is_in_or_out(capsys):
     hub = Hub()
     server = NameServer(hub)
-    server.srv("_tds._tcp.engines.example.", (0, 5, 14331, "a.example.", "127.0.0.1"),
-               (3, 5, 14332, "b.example.", "127.0.0.1"), (0, 5, 14333, "c.example.", "192.0.2.1"))
-    text = GOOD.replace('state = "live"', 'state = "draining"') + f'''
+    server.srv(
+        "_tds._tcp.engines.example.",
+        (0, 5, 14331, "a.example.", "127.0.0.1"),
+        (3, 5, 14332, "b.example.", "127.0.0.1"),
+        (0, 5, 14333, "c.example.", "192.0.2.1"),
+    )
+    text = (
+        GOOD.replace('state = "live"', 'state = "draining"')
+        + f"""
 [[source]]
 name = "records"
 type = "srv"
@@ -124,7 +158,8 @@
 lookup_ms = 200
 [addresses]
 deny = ["192.0.2.0/24"]
-'''
+"""
+    )
     app, faults = application.read(text)
     assert not faults
     found, lines = gather(app, 5.0, hub)
--- a/tests/test_starttimes.py
+++ b/tests/test_starttimes.py
@@ -1,4 +1,5 @@
 """Start times of engines on the program's own clock, whatever the wall clock says; and who may read that."""
+
 from __future__ import annotations
 
 import ast
@@ -14,8 +15,12 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 UNIX = 1_700_000_000.0  # what a true wall clock says at 0 of the monotonic one
-WALL_READERS = {"aspenrill/starttimes.py", "aspenrill/net/wallclock.py", "aspenrill/fleet/parts.py",
-                "aspenrill/fleet/service.py"}  # a bound, the log, the hour of UTC, an incarnation
+WALL_READERS = {
+    "aspenrill/starttimes.py",
+    "aspenrill/net/wallclock.py",
+    "aspenrill/fleet/parts.py",
+    "aspenrill/fleet/service.py",
+}  # a bound, the log, the hour of UTC, an incarnation
 WALL_CALLS = {"time", "time_ns", "localtime", "gmtime", "ctime", "strftime"}
 
 
@@ -47,8 +52,13 @@
 @pytest.mark.parametrize("off", OFF)
 def test_no_engine_is_taken_for_older_than_it_is_nor_for_unborn(off):
     times = starts(off)
-    for now, born, port in ((100.0, 40.0, 1), (100.0, 90.0, 2), (104.0, 101.0, 3), (106.0, 106.0, 4),
-                            (130.0, 108.0, 5)):
+    for now, born, port in (
+        (100.0, 40.0, 1),
+        (100.0, 90.0, 2),
+        (104.0, 101.0, 3),
+        (106.0, 106.0, 4),
+        (130.0, 108.0, 5),
+    ):
         at = told(times, now, member(f"e{port}", born, port))[0]
         assert born - 1e-6 <= at <= now
 
@@ -100,8 +110,16 @@
 
 def test_a_machine_that_has_just_booted_takes_an_old_start_for_a_start():
     times = StartTimes(10, wall=UNIX, now=1.0)
-    assert 0.0 < told(times, 1.0, Member("a", ("h", 1), EngineState.LIVE, started=UNIX - 9.0),
-                      Member("b", ("h", 2), EngineState.LIVE, started=UNIX))[0] < 1.0
+    assert (
+        0.0
+        < told(
+            times,
+            1.0,
+            Member("a", ("h", 1), EngineState.LIVE, started=UNIX - 9.0),
+            Member("b", ("h", 2), EngineState.LIVE, started=UNIX),
+        )[0]
+        < 1.0
+    )
     assert math.isfinite(told(times, 2.0, Member("a", ("h", 1), EngineState.LIVE, started=5.0))[0])
 
 
@@ -109,14 +127,20 @@
     """Lines that read the wall clock."""
     found = []
     for node in ast.walk(ast.parse(file.read_text())):
-        name = node.attr if isinstance(node, ast.Attribute) and isinstance(node.value, ast.Name) and (
-            node.value.id == "time") else None
+        name = (
+            node.attr
+            if isinstance(node, ast.Attribute)
+            and isinstance(node.value, ast.Name)
+            and (node.value.id == "time")
+            else None
+        )
         if name in WALL_CALLS or name == "CLOCK_REALTIME":
             found.append(node.lineno)
         elif isinstance(node, ast.ImportFrom) and node.module == "time":
             found.append(node.lineno)
         elif isinstance(node, (ast.Import, ast.ImportFrom)) and any(
-                "datetime" in (alias.name, getattr(node, "module", "")) for alias in node.names):
+            "datetime" in (alias.name, getattr(node, "module", "")) for alias in node.names
+        ):
             found.append(node.lineno)
     return found
 
--- a/tests/test_told_room.py
+++ b/tests/test_told_room.py
@@ -1,4 +1,5 @@
 """Room at engines that tell how many queries they hold: what no gateway claims is for all to share."""
+
 from __future__ import annotations
 
 import pytest
@@ -11,10 +12,21 @@
 
 
 def gateway(**more) -> Gateway:
-    g = Gateway(api.Settings(classes=(LOOKUP,), cores_by_kind=(8,), gateways=3, may_cancel=True,
-                             report_fields=("inflight",), **more), 1, 0.0)
-    g.handle(0.0, ListUpdate(ListMode.REMEMBERED, tuple(
-        EngineEntry(name, EngineState.LIVE) for name in "abc")))
+    g = Gateway(
+        api.Settings(
+            classes=(LOOKUP,),
+            cores_by_kind=(8,),
+            gateways=3,
+            may_cancel=True,
+            report_fields=("inflight",),
+            **more,
+        ),
+        1,
+        0.0,
+    )
+    g.handle(
+        0.0, ListUpdate(ListMode.REMEMBERED, tuple(EngineEntry(name, EngineState.LIVE) for name in "abc"))
+    )
     for engine in g.live[1:]:  # only "a" is in reach, as for one that is cut off with it
         engine.ejected_until = 1e9
     g.ordinary, g.look_at = 5.0, 1e9  # pressed, and no gap
@@ -64,7 +76,6 @@
     assert engine.threads == 5
 
 
-
 def sent(actions) -> list[api.Send]:
     return [a for a in actions if isinstance(a, api.Send)]
 
@@ -72,8 +83,9 @@
 def reading(effect=Effect.SAFE) -> Gateway:
     reader = api.QueryClass(aim=2.0, patience=9.0, effect=effect, waits_for_loads=True)
     g = Gateway(api.Settings(classes=(reader,), cores_by_kind=(8,), may_cancel=True), 1, 0.0)
-    g.handle(0.0, ListUpdate(ListMode.REMEMBERED, tuple(
-        EngineEntry(name, EngineState.LIVE) for name in "abc")))
+    g.handle(
+        0.0, ListUpdate(ListMode.REMEMBERED, tuple(EngineEntry(name, EngineState.LIVE) for name in "abc"))
+    )
     g.classes[0].latency = 0.3
     return g
 
@@ -100,8 +112,9 @@
 
 @pytest.mark.parametrize("heeded, limited", [(False, True), (True, False)])
 def test_under_a_gap_attempts_are_bounded_where_no_priority_keeps_them_aside(heeded, limited):
-    g = Gateway(api.Settings(classes=(LOOKUP,), cores_by_kind=(8,), may_cancel=True,
-                             priorities_heeded=heeded), 1, 0.0)
+    g = Gateway(
+        api.Settings(classes=(LOOKUP,), cores_by_kind=(8,), may_cancel=True, priorities_heeded=heeded), 1, 0.0
+    )
     g.handle(0.0, ListUpdate(ListMode.REMEMBERED, (EngineEntry("a", EngineState.LIVE),)))
     for rung in (0, 2):
         g.rung, g.base_gap = rung, 0.0
--- a/tests/test_tool.py
+++ b/tests/test_tool.py
@@ -1,4 +1,5 @@
 """The tool as a new user would run it, and the program's own reading of configurations."""
+
 from __future__ import annotations
 
 import json
@@ -35,32 +36,47 @@
         "_tds._tcp.local. 120 IN PTR billing._tds._tcp.local.",
         "billing._tds._tcp.local. 120 IN SRV 0 0 1433 billing.local.",
         'billing._tds._tcp.local. 120 IN TXT "txtvers=1" "app=billing"',
-        "billing.local. 120 IN A 127.0.0.1"]
-
-
-@pytest.mark.parametrize("old, new, faults", [
-    ('listen = "127.0.0.1:0"', 'listen = "here"', ["listen"]), ('name = "billing"', "", ["name"]),
-    ("wanted_ms = 1000", "wanted_ms = 9000", ["class[0].wanted_ms"]),
-    ("wanted_ms = 1000 ", 'wanted_ms = "1 s" ', ["class[0].wanted_ms"]),
-    ('effect = "by_key"', 'effect = "maybe"', ["class[2].effect"]),
-    ("repeat_window_ms = 15000", "", ["class[2].repeat_window_ms"]),
-    ('key = "comment"', "", ["login[1].key"]), ('class = "report"', 'class = "reprot"', ["login[0].class"]),
-    ('tenant = "main"', 'tenant = "mian"', ["login[0].tenant"]),
-    ("cores = 8", "cores = 0", ["engines.kind[0].cores"]),
-    ('type = "list" ', 'type = "dns-sd" ', ["source[0].service", "source[0].resolver", "source[0].engine"]),
-    ('type = "list" ', 'type = "bulletin" ', ["source[0].type"]),
-    ('state = "live"', 'state = "well"', ["source[0].engine[0].state"]),
-    ("[engines]\n", '[engines]\nsource = "list"\n', ["engines.source"]),
-    ("front_end = 1 ", "front_end = 2 ", ["rules.front_end"]),
-    ("# [addresses] ", '[addresses]\nallow = ["10.0.0.0/8", "10.1"]\n# ', ["addresses.allow[1]"]),
-    ("# [addresses] ", '[addresses]\nallow = ["10.0.0.0/8"]\n# ', ["source[0].engine[0].address"]),
-    ("# [tiers] ", "[tiers]\nlack = 0.9\n# ", ["tiers.full"]),
-    ("# [membership]\n", "[membership]\nhold_s = 900\n", ["membership.hold_most_s"]),
-    ("# [[resolver]]", '[[resolver]]\nservers = ["here", "127.0.0.1:53"]\nlookup_ms = 20\n# ',
-     ["resolver[0].servers[0]", "resolver[0].lookup_ms"]),
-    ("sockets = 1024", "sockets = 8\nspeed = 2", ["limits.sockets", "limits.speed"]),
-    ('name = "billing"', "name = ", ["file"]), ("worth = 8.0", "worth = true", ["class[1].worth"]),
-    ('address = "127.0.0.1:14331"', 'address = "localhost:1"', ["source[0].engine[0].address"])])
+        "billing.local. 120 IN A 127.0.0.1",
+    ]
+
+
+@pytest.mark.parametrize(
+    "old, new, faults",
+    [
+        ('listen = "127.0.0.1:0"', 'listen = "here"', ["listen"]),
+        ('name = "billing"', "", ["name"]),
+        ("wanted_ms = 1000", "wanted_ms = 9000", ["class[0].wanted_ms"]),
+        ("wanted_ms = 1000 ", 'wanted_ms = "1 s" ', ["class[0].wanted_ms"]),
+        ('effect = "by_key"', 'effect = "maybe"', ["class[2].effect"]),
+        ("repeat_window_ms = 15000", "", ["class[2].repeat_window_ms"]),
+        ('key = "comment"', "", ["login[1].key"]),
+        ('class = "report"', 'class = "reprot"', ["login[0].class"]),
+        ('tenant = "main"', 'tenant = "mian"', ["login[0].tenant"]),
+        ("cores = 8", "cores = 0", ["engines.kind[0].cores"]),
+        (
+            'type = "list" ',
+            'type = "dns-sd" ',
+            ["source[0].service", "source[0].resolver", "source[0].engine"],
+        ),
+        ('type = "list" ', 'type = "bulletin" ', ["source[0].type"]),
+        ('state = "live"', 'state = "well"', ["source[0].engine[0].state"]),
+        ("[engines]\n", '[engines]\nsource = "list"\n', ["engines.source"]),
+        ("front_end = 1 ", "front_end = 2 ", ["rules.front_end"]),
+        ("# [addresses] ", '[addresses]\nallow = ["10.0.0.0/8", "10.1"]\n# ', ["addresses.allow[1]"]),
+        ("# [addresses] ", '[addresses]\nallow = ["10.0.0.0/8"]\n# ', ["source[0].engine[0].address"]),
+        ("# [tiers] ", "[tiers]\nlack = 0.9\n# ", ["tiers.full"]),
+        ("# [membership]\n", "[membership]\nhold_s = 900\n", ["membership.hold_most_s"]),
+        (
+            "# [[resolver]]",
+            '[[resolver]]\nservers = ["here", "127.0.0.1:53"]\nlookup_ms = 20\n# ',
+            ["resolver[0].servers[0]", "resolver[0].lookup_ms"],
+        ),
+        ("sockets = 1024", "sockets = 8\nspeed = 2", ["limits.sockets", "limits.speed"]),
+        ('name = "billing"', "name = ", ["file"]),
+        ("worth = 8.0", "worth = true", ["class[1].worth"]),
+        ('address = "127.0.0.1:14331"', 'address = "localhost:1"', ["source[0].engine[0].address"]),
+    ],
+)
 def test_check_names_every_fault_by_its_field(tmp_path, capsys, old, new, faults):
     assert old in GOOD
     path = tmp_path / "a.toml"
@@ -73,9 +89,13 @@
 OLDER = re.sub(r"# Where the list of engines.*?(?=# Guards)", "", GOOD, flags=re.S)
 
 
-@pytest.mark.parametrize("more, found", [
-    ('source = "dns-sd"\nresolver = "[::1]:53"\nservice = "_tds._tcp.x.local"', ("dns-sd", "default", 0)),
-    ('source = "list"\nengine = [{name = "e", address = "127.0.0.1:1"}]', ("list", "", 1))])
+@pytest.mark.parametrize(
+    "more, found",
+    [
+        ('source = "dns-sd"\nresolver = "[::1]:53"\nservice = "_tds._tcp.x.local"', ("dns-sd", "default", 0)),
+        ('source = "list"\nengine = [{name = "e", address = "127.0.0.1:1"}]', ("list", "", 1)),
+    ],
+)
 def test_the_older_form_with_one_source_still_reads(more, found):
     app, faults = application.read(OLDER.replace("[engines]\n", f"[engines]\n{more}\n"))
     assert not faults
@@ -90,28 +110,80 @@
     assert not faults and app.sources.summary == "list, srv" and app.sources.allow
 
 
-INFO = {"classes": [{"name": "lookup", "effect": "repeatable", "on_time_ns": 10**9, "give_up_ns": 5 * 10**9,
-                     "new": 1}], "kinds": ["k"], "areas": ["z"], "unknown": {"x": 1}, "tenants": []}
-CONFIG = {"name": "n1", "listen": "127.0.0.1:0", "seed": "1f", "limits": {"sockets": 256},
-          "bulletin": "127.0.0.1:9", "known": {"no": 0, "items": []}, "settings": INFO, "more": 1}
+INFO = {
+    "classes": [
+        {"name": "lookup", "effect": "repeatable", "on_time_ns": 10**9, "give_up_ns": 5 * 10**9, "new": 1}
+    ],
+    "kinds": ["k"],
+    "areas": ["z"],
+    "unknown": {"x": 1},
+    "tenants": [],
+}
+CONFIG = {
+    "name": "n1",
+    "listen": "127.0.0.1:0",
+    "seed": "1f",
+    "limits": {"sockets": 256},
+    "bulletin": "127.0.0.1:9",
+    "known": {"no": 0, "items": []},
+    "settings": INFO,
+    "more": 1,
+}
 
 
 def start(tmp_path, config, *words):
     path = tmp_path / "config.json"
     path.write_text(config if isinstance(config, str) else json.dumps(config))
-    return subprocess.Popen([sys.executable, "-m", "aspenrill", *words], stderr=subprocess.PIPE, text=True,
-                            env={"NODE_CONFIG": str(path), "PATH": ""})
-
-
-@pytest.mark.parametrize("change, named", [
-    ({"listen": "nowhere"}, "listen"), ({"bulletin": 5}, "bulletin"), ({"settings": None}, "settings"),
-    ({"settings": {**INFO, "classes": [{"name": "a"}]}}, "effect"), ({"known": {"no": 0}}, "known.items"),
-    ({"known": {"no": 1, "items": [{}]}}, "known.items[0]"), ({"seed": "xyz"}, "seed"),
-    ({"limits": {"sockets": 1}}, "limits.sockets"), ("{", "NODE_CONFIG"),
-    ({"limits": {"memory_mb": "much"}}, "limits.memory_mb"),
-    ({"limits": {"memory_mb": 32}, "known": {"no": 1, "items": [{"no": 1, "roster": {"whole": True, "hosts": [
-        {"host": f"s-{i:08x}", "dial": "127.0.0.1:80", "site": "z", "class": "k", "health": "in_service"}
-        for i in range(2049)]}}]}}, "a list of 2049 engines, limits.memory_mb 32 takes 2048")])
+    return subprocess.Popen(
+        [sys.executable, "-m", "aspenrill", *words],
+        stderr=subprocess.PIPE,
+        text=True,
+        env={"NODE_CONFIG": str(path), "PATH": ""},
+    )
+
+
+@pytest.mark.parametrize(
+    "change, named",
+    [
+        ({"listen": "nowhere"}, "listen"),
+        ({"bulletin": 5}, "bulletin"),
+        ({"settings": None}, "settings"),
+        ({"settings": {**INFO, "classes": [{"name": "a"}]}}, "effect"),
+        ({"known": {"no": 0}}, "known.items"),
+        ({"known": {"no": 1, "items": [{}]}}, "known.items[0]"),
+        ({"seed": "xyz"}, "seed"),
+        ({"limits": {"sockets": 1}}, "limits.sockets"),
+        ("{", "NODE_CONFIG"),
+        ({"limits": {"memory_mb": "much"}}, "limits.memory_mb"),
+        (
+            {
+                "limits": {"memory_mb": 32},
+                "known": {
+                    "no": 1,
+                    "items": [
+                        {
+                            "no": 1,
+                            "roster": {
+                                "whole": True,
+                                "hosts": [
+                                    {
+                                        "host": f"s-{i:08x}",
+                                        "dial": "127.0.0.1:80",
+                                        "site": "z",
+                                        "class": "k",
+                                        "health": "in_service",
+                                    }
+                                    for i in range(2049)
+                                ],
+                            },
+                        }
+                    ],
+                },
+            },
+            "a list of 2049 engines, limits.memory_mb 32 takes 2048",
+        ),
+    ],
+)
 def test_a_configuration_that_cannot_be_used_is_named_in_one_line(tmp_path, change, named):
     child = start(tmp_path, change if isinstance(change, str) else CONFIG | change)
     err = child.communicate(timeout=20)[1]
@@ -121,6 +193,7 @@
 def port_of(pid: int) -> int:
     """The port on which a process listens, from the system's table of sockets."""
     import os
+
     until = time.monotonic() + 20
     while time.monotonic() < until:
         try:
@@ -153,9 +226,9 @@
         sock.sendall(thrift.frame(thrift.CALL, name, seqid, body))
         return thrift.read_message(receive(sock, int.from_bytes(receive(sock, 4), "big")))
 
-    body = thrift.field(thrift.MAP, 1, thrift.text_map(
-        {"kind": "lookup", "req": "0" * 16, "timeout": "900", "owner": "x"})) + thrift.field(
-        thrift.STRING, 2, thrift.blob(b"select 1"))
+    body = thrift.field(
+        thrift.MAP, 1, thrift.text_map({"kind": "lookup", "req": "0" * 16, "timeout": "900", "owner": "x"})
+    ) + thrift.field(thrift.STRING, 2, thrift.blob(b"select 1"))
     with socket.create_connection(("127.0.0.1", port), 10) as sock:
         sock.settimeout(10)
         assert ask(sock, 1, "isWell", b"").args[0][3] is True
@@ -184,7 +257,7 @@
     assert int.from_bytes(number, "big") == 7
     path = tmp_path / "config.json"
     whole = json.dumps(told | {"bulletin": f"127.0.0.1:{new.getsockname()[1]}"})
-    path.write_text(whole[:len(whole) // 2])
+    path.write_text(whole[: len(whole) // 2])
     child.send_signal(signal.SIGHUP)
     line = child.stderr.readline()
     assert "old one stays" in line and "NODE_CONFIG" in line and child.poll() is None
@@ -248,13 +321,20 @@
     logged = []
     hub = Hub(logged.append)
     engine = HttpEngine(hub, "s-00000001")
-    host = {"host": engine.name, "dial": f"127.0.0.1:{engine.listener.address[1]}", "site": "z",
-            "class": "k", "health": "in_service"}
+    host = {
+        "host": engine.name,
+        "dial": f"127.0.0.1:{engine.listener.address[1]}",
+        "site": "z",
+        "class": "k",
+        "health": "in_service",
+    }
     known = {"no": 1, "items": [{"no": 1, "roster": {"whole": True, "hosts": [host]}}]}
     config, front = tmp_path / "config.json", tmp_path / "tds.toml"
     config.write_text(json.dumps(CONFIG | {"known": known}))
-    text = 'name = "n"\nenabled = %s\nlisten = "127.0.0.1:0"\n[[login]]\nuser = "*"\nclass = "lookup"\n' \
-           'timeout_ms = 5000\n'
+    text = (
+        'name = "n"\nenabled = %s\nlisten = "127.0.0.1:0"\n[[login]]\nuser = "*"\nclass = "lookup"\n'
+        "timeout_ms = 5000\n"
+    )
     front.write_text(text % "false")
     assert len(platform(hub, {"NODE_CONFIG": str(config)}, front).fronts) == 1
     front.write_text(text % "true")
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -2,6 +2,7 @@
 
 It moves on only where the program waits and no descriptor has news: verdicts don't hang on the machine.
 """
+
 from __future__ import annotations
 
 import os
@@ -80,7 +81,7 @@
         out = self.first.get(me, b"")
         while True:
             if self.silent < me and me not in self.mute:
-                out += b"".join(self.events[last - 1:])
+                out += b"".join(self.events[last - 1 :])
                 last = len(self.events) + 1
                 if not out and time.monotonic() >= spoke + 1:
                     out = wire.HEAD.pack(9, 0, wire.NOTHING)
@@ -118,14 +119,17 @@
 LOST, LATE = None, 1.5
 
 
-@pytest.mark.parametrize("fates, mute, first, moves", [
-    ([LOST, LATE, LOST, LATE], {1}, {}, None),  # the worst sum of the module's docstring
-    ([LATE] * 6, {1}, {}, None),  # all come up late
-    ([LOST, LATE], {1}, {}, 4.7),  # moves while the new connection is mute
-    ([LOST, LATE, LOST, LATE], set(), {}, 3.0),  # moves in the middle of a dial
-    ([LOST, LATE], set(), {1: "again"}, None),  # says the last event once more, then what follows
-    ([LOST, LATE, LOST, LATE], {1}, {1: "half"}, None),  # half of the event, then nothing
-])
+@pytest.mark.parametrize(
+    "fates, mute, first, moves",
+    [
+        ([LOST, LATE, LOST, LATE], {1}, {}, None),  # the worst sum of the module's docstring
+        ([LATE] * 6, {1}, {}, None),  # all come up late
+        ([LOST, LATE], {1}, {}, 4.7),  # moves while the new connection is mute
+        ([LOST, LATE, LOST, LATE], set(), {}, 3.0),  # moves in the middle of a dial
+        ([LOST, LATE], set(), {1: "again"}, None),  # says the last event once more, then what follows
+        ([LOST, LATE, LOST, LATE], {1}, {1: "half"}, None),  # half of the event, then nothing
+    ],
+)
 def test_nothing_begins_at_a_draining_engine_after_the_grace(clock, monkeypatch, fates, mute, first, moves):
     logged: list[str] = []
     hub = clock.hub(logged.append)
@@ -214,9 +218,18 @@
     assert max(counts[:-1]) <= 2 and counts[-1] == 3, (max(counts[:-1]), counts[-1])
 
 
-@pytest.mark.parametrize("fates, takes", [([0.0], 0.0), ([LOST, 0.0], 0.5), ([LATE, LOST], 1.5),
-                                          ([LATE, 0.2], 0.7), ([LATE, 1.0], 1.5), ([LOST, LATE], 2.0),
-                                          ([LOST, LOST], 2.1)])
+@pytest.mark.parametrize(
+    "fates, takes",
+    [
+        ([0.0], 0.0),
+        ([LOST, 0.0], 0.5),
+        ([LATE, LOST], 1.5),
+        ([LATE, 0.2], 0.7),
+        ([LATE, 1.0], 1.5),
+        ([LOST, LATE], 2.0),
+        ([LOST, LOST], 2.1),
+    ],
+)
 def test_the_first_dial_that_comes_up_is_kept_and_the_other_is_closed(clock, monkeypatch, fates, takes):
     hub, dials = clock.hub(), Dials(monkeypatch)
     dials.fates = list(fates)
@@ -264,8 +277,11 @@
     def serve(conn: Connection) -> None:
         conn.read(8, time.monotonic() + 5)
         hub.sleep(2.0)
-        conn.write(wire.HEAD.pack(9 + 27, 2, wire.WHOLE) + wire.RECORD.pack(
-            1, b"\x7f\0\0\1", 80, 0, 0, 0, 0, 1000, 0), time.monotonic() + 5)
+        conn.write(
+            wire.HEAD.pack(9 + 27, 2, wire.WHOLE)
+            + wire.RECORD.pack(1, b"\x7f\0\0\1", 80, 0, 0, 0, 0, 1000, 0),
+            time.monotonic() + 5,
+        )
         hub.sleep(20)
 
     listener = Listener(hub, ("127.0.0.1", 0), serve, 10, "late")
