The wall clock at the program's start dates engines within what late news allow

Cause: starts were dated by the promptest news alone, so where lists come some seconds late each new engine stayed cold for as much longer. Change: `max(by_wall, by_news - delay)`: the wall clock as it stood at the start decides, and no engine is taken for older than `delay` by it: 7 s, after which the bulletin counts as having told, half of the cold span at most.

--- a/aspenrill/node.py
+++ b/aspenrill/node.py
@@ -39,6 +39,7 @@
 ANSWERED, ENDED = 0.3, 0.1  # seconds before it by which all has its answer, and by which the process ends
 BASE_MB, ENGINE_KB = 26, 5  # memory without engines, and of one with its part of the list's text
 LEAST_LIST = 2048  # engines that are taken at any limit: 26 MB in all
+NEWS_DELAY = 7.0  # seconds after which the bulletin counts as having told, by the protocol
 DEPLOY = Path(__file__).resolve().parent.parent / "deploy"
 TDS_FILE, SOURCES_FILE, FLEET_FILE = DEPLOY / "tds.toml", DEPLOY / "sources.toml", DEPLOY / "fleet.toml"
 
@@ -251,7 +252,7 @@
     )
     node.owner.most_engines = config.most_engines
     gathering = _more_sources(hub, node, sources_file, config.kinds)
-    starts = StartTimes(config.most_engines)
+    starts = StartTimes(config.most_engines, min(NEWS_DELAY, config.settings.cold_for / 2))
 
     def hear(news: News, tell: Callable[[Any], None]) -> None:
         if gathering is None:
--- a/aspenrill/starttimes.py
+++ b/aspenrill/starttimes.py
@@ -2,10 +2,10 @@
 
 Discovery stamps a late start with Unix time. Neither that clock nor this machine's wall clock can be relied
 on to measure how long ago that was: either may be stepped. What can be relied on is that nothing is told of
-before it has happened. So the two clocks differ by at most what the promptest news leaves between its stamp
-and its arrival, and no start is taken for older than by that. The wall clock, as it stood when the program
-began, is a second bound, for stamps that lie in the future. An engine that is taken for younger than it is
-gets less work for a while; one that is taken for older would get more than it bears.
+before it has happened, so no start may be taken for older than the promptest news allow, less the time by
+which all of them may have been late. Within that bound the wall clock decides, as it stood when the program
+began. An engine that is taken for younger than it is gets less work for a while; one that is taken for
+older would get more than it bears.
 
 No I/O but for one reading of both clocks at the beginning.
 """
@@ -43,9 +43,14 @@
     then; a later start is always dated later than all that was told before.
     """
 
-    def __init__(self, most: int, wall: float | None = None, now: float | None = None) -> None:
-        """`most`: engines that are remembered; `wall` and `now`: both clocks, read here where not given."""
-        self._most = most
+    def __init__(
+        self, most: int, news_delay: float = 0.0, wall: float | None = None, now: float | None = None
+    ) -> None:
+        """`most`: engines that are remembered. `news_delay`: seconds by which all news may have been late, and so
+        the most by which an engine may be taken for older than it is. `wall`, `now`: both clocks, read here
+        where not given.
+        """
+        self._most, self._news_delay = most, news_delay
         now = time.monotonic() if now is None else now
         self._by_wall = now - (time.time() if wall is None else wall)
         self._by_news = self._dated_by = float("inf")
@@ -87,7 +92,7 @@
         return start.member
 
     def _date(self, now: float, stamp: float, earliest: float) -> float:
-        return max(earliest, min(now, stamp + max(self._by_wall, self._by_news)))
+        return max(earliest, min(now, stamp + max(self._by_wall, self._by_news - self._news_delay)))
 
     def _redated(self, now: float, told: set[str]) -> tuple[Member, ...]:
         """Others than those told of, whose date is better by now."""
