--- a/aspenrill/starttimes.py
+++ b/aspenrill/starttimes.py
@@ -46,9 +46,10 @@
     def __init__(
         self, most: int, news_delay: float = 0.0, wall: float | None = None, now: float | None = None
     ) -> None:
-        """`most`: engines that are remembered. `news_delay`: seconds by which all news may have been late, and
-        so the most by which an engine may be taken for older than it is. `wall`, `now`: both clocks, read here
-        where not given.
+        """`most`: engines that are remembered.
+
+        `news_delay`: seconds by which all news may have been late, and so the most by which an engine may be
+        taken for older than it is. `wall`, `now`: both clocks, read here where not given.
         """
         self._most, self._news_delay = most, news_delay
         now = time.monotonic() if now is None else now
