A log that nobody reads loses lines and does not stop the program

Cause: `start.py:say` wrote to standard error and waited. Change: where standard error is a pipe it is opened anew without waiting; a line that finds no room is lost. Files and terminals are as before.

--- a/aspenrill/start.py
+++ b/aspenrill/start.py
@@ -7,6 +7,7 @@
 import os
 import signal
 import socket
+import stat
 import sys
 import traceback
 from collections.abc import Callable, Mapping, Sequence
@@ -19,14 +20,28 @@
     from .node import Node
 
 
+STANDARD_ERROR = 2
 SIGNAL_TRIES = 1000  # to pass a signal on to its task
 SIGNAL_PAUSE = 0.01  # seconds until a signal that could not be read is looked for again
 
 
-def say(text: str) -> None:
-    """A log line. Where the log's disk is full it is lost, and the program goes on."""
+def open_log() -> int:
+    """The descriptor for the log. Where standard error is a pipe, one whose writes never wait: a reader that
+    stands still is not to stop the program."""
     with contextlib.suppress(OSError):
-        print(text, file=sys.stderr, flush=True)
+        if stat.S_ISFIFO(os.fstat(STANDARD_ERROR).st_mode):
+            return os.open(f"/proc/self/fd/{STANDARD_ERROR}", os.O_WRONLY | os.O_NONBLOCK | os.O_CLOEXEC)
+    return STANDARD_ERROR
+
+
+def logger(descriptor: int) -> Callable[[str], None]:
+    """What writes log lines there. Where its disk or pipe is full a line is lost, and the program goes on."""
+
+    def say(text: str) -> None:
+        with contextlib.suppress(OSError):
+            os.write(descriptor, f"{text}\n".encode(errors="replace"))
+
+    return say
 
 
 def on_signal(hub: Hub, number: int, act: Callable[[], None]) -> None:
@@ -66,7 +81,7 @@
 def main(words: Sequence[str] | None = None, env: Mapping[str, str] = os.environ) -> int:
     """Run one front end until SIGTERM; 2 where its configuration cannot be used."""
     words = sys.argv[1:] if words is None else words
-    hub = Hub(say)
+    hub = Hub(logger(open_log()))
     node: Node | None = None
     on_signal(hub, signal.SIGHUP, lambda: node.reload())  # first: by default it would end the program
     from .node import ConfigError, platform  # most of what is imported, and so of the time until here
--- a/tests/frontend.py
+++ b/tests/frontend.py
@@ -35,6 +35,7 @@
         self.place.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.place.bind(("127.0.0.1", 0))
         self.process: subprocess.Popen | None = None
+        self.log_to: int | None = None  # a descriptor for its log in place of the file
 
     def start(self, settings: dict, born_ms: Sequence[int | None] = (0, 0)) -> None:
         """With a list of the engines that are born by then."""
@@ -73,7 +74,7 @@
         with open(self.folder / "log", "wb") as log:
             self.process = subprocess.Popen(
                 [sys.executable, *self.launcher, "aspenrill"],
-                stderr=log,
+                stderr=log if self.log_to is None else self.log_to,
                 env=os.environ | {"NODE_CONFIG": str(path)},
             )
 
--- a/tests/test_ready.py
+++ b/tests/test_ready.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import fcntl
 import json
 import os
 import resource
@@ -16,6 +17,7 @@
 from typing import Any
 
 import pytest
+from frontend import FrontEnd
 from test_release import INFO
 
 from aspenrill.net.conn import Connection, Refused
@@ -200,3 +202,28 @@
         env=env | {"PYTHONPATH": f"{tmp_path}:{os.getcwd()}"},
     )
     assert ended.returncode == 2 and "NODE_CONFIG: not set" in ended.stderr, ended
+
+
+def test_a_log_that_nobody_reads_does_not_stop_the_program(tmp_path):
+    # standard error is a pipe of one page, whose reader stands still; each refusal is a line
+    front = FrontEnd(tmp_path, ("-m",))
+    reader, writer = os.pipe()
+    fcntl.fcntl(writer, fcntl.F_SETPIPE_SZ, 4096)
+    front.log_to = writer
+
+    def scene() -> None:
+        client = front.client("lookup")
+        for engine in front.engines:
+            engine.listener.close()
+        for number in range(200):
+            assert client.ask(f"select {number}", 30).kind in ("refused", "failed")
+
+    try:
+        front.start(INFO | {"group_size": 1, "me": 0})
+        play(front.hub, scene)
+        lines = os.read(reader, 65536)
+        assert len(lines) > 2048 and b"request_refused" in lines
+    finally:
+        os.close(reader)
+        os.close(writer)
+        front.stop()
