The log tells the time of each line, each costly end of a connection, and each stall

Cause: the saved logs had no times, no ids for a connection that ended, no line for a process that stood still, and lines lost to a full pipe left no trace. Change: LogWriter stamps lines, holds 64 KB that a pipe or disk does not take and counts the rest; connection_closed tells peer, who ended it, open ids and discarded bytes, and is never left out where the front end ended it at a cost; program_stalled.

--- a/aspenrill/fleet/peer.py
+++ b/aspenrill/fleet/peer.py
@@ -17,7 +17,8 @@
 
 from ..errors import Trouble
 from ..net.hub import Hub
-from ..start import logger, on_signal, open_log
+from ..net.logwriter import LogWriter
+from ..start import on_signal, open_log
 from .config import read_file
 from .desk import Desk
 from .interface import Member, State
@@ -69,7 +70,7 @@
 def main(words: Sequence[str] | None = None) -> int:
     """Run until SIGTERM; 2 where the configuration cannot be used."""
     words = sys.argv[1:] if words is None else words
-    hub = Hub(logger(open_log()))
+    hub = Hub(LogWriter(open_log()))
     if len(words) != 1:
         print("usage: python -m aspenrill.fleet.peer FILE.toml", file=sys.stderr)
         return 2
--- a/aspenrill/fronts/tds.py
+++ b/aspenrill/fronts/tds.py
@@ -116,12 +116,12 @@
         self.ending, conn.begun = True, False
         try:
             while (self.call is not None or self.busy) and not conn.over:
-                conn.incoming.clear()
+                conn.discard()
                 conn.fill(None)  # the request ends at its deadline
                 self.service.hub.give_way()
         except Closed:
             pass
-        conn.incoming.clear()
+        conn.discard()
         self._left()
         while self.busy and conn.open:
             self.idle.wait(None)  # the writer's own time is bounded
--- a/aspenrill/fronts/thrift.py
+++ b/aspenrill/fronts/thrift.py
@@ -151,12 +151,12 @@
         conn.draining, conn.begun = True, False  # its last answer ends it, if nothing lies unread
         try:
             while conn.busy and not conn.over:
-                conn.incoming.clear()
+                conn.discard()
                 conn.fill(None)  # each request that is open ends at its deadline
                 hub.give_way()
         except Closed:
             pass
-        conn.incoming.clear()
+        conn.discard()
         self._left()
         if self.fresh:
             self._flush()  # what has been answered goes out before the end, also in the round of the client's
@@ -169,6 +169,7 @@
         self.conn.busy -= len(self.open)
         for call in self.open.values():
             call.gone = True
+            self.conn.abandoned.append(call.id)
             self.service.post(Left(call))
         self.open.clear()
 
--- a/aspenrill/net/conn.py
+++ b/aspenrill/net/conn.py
@@ -61,6 +61,7 @@
         self.open = True
         self.shut = False  # our write side is: what still comes is discarded, never taken
         self.shut_at = 0.0
+        self.ended_here = False  # this side ended it first
         self.over = False  # the other side's end has been read, or it broke
         self.starved = False  # the system had no memory for the last write
         self.dry = False  # the last read took all there was: the next waits first
@@ -72,6 +73,10 @@
         self.draining = False  # to end, in order, once nothing is open on it
         self.used = time.monotonic()  # when it was last of use
         self.end_reason = ""  # why this side ends it, for the log
+        self.peer = ""  # the other side's address, for the log
+        self.made_at = self.used
+        self.abandoned: list[str] = []  # ids of requests that had no answer when it ended
+        self.discarded = 0  # bytes read and not taken, since this side ends it
 
     def close(self) -> None:
         """Over; tasks that wait on it get Closed. May be called twice."""
@@ -87,7 +92,7 @@
         """Begin the orderly close: shut the write side. A task that reads gets Closed and is to `linger`."""
         if self.open and not self.shut:
             self.end_reason = self.end_reason or reason
-            self.shut, self.shut_at = True, time.monotonic()
+            self.shut, self.shut_at, self.ended_here = True, time.monotonic(), not self.over
             try:
                 self.sock.shutdown(socket.SHUT_WR)
             except OSError:
@@ -108,12 +113,14 @@
         Where nothing was ever written there is nothing to lose, and what has come is discarded once.
         """
         self.end()
-        self.incoming.clear()
+        self.discard()
         until = time.monotonic() + (seconds if self.written else 0.0)
         try:
             while self.open and not self.over:
                 try:
-                    self.over = not self.sock.recv(RING)
+                    count = len(self.sock.recv(RING))
+                    self.over = not count
+                    self.discarded += count
                 except AGAIN:
                     self.hub.wait_fd(self.fd, READ, left(until))
                     continue
@@ -129,6 +136,11 @@
         finally:
             self.close()
 
+    def discard(self) -> None:
+        """Drop what has been read and not taken; it is counted."""
+        self.discarded += len(self.incoming)
+        self.incoming.clear()
+
     # ---- reading --------------------------------------------------------------------------------------
 
     def fill(self, until: float | None) -> None:
--- a/aspenrill/net/hub.py
+++ b/aspenrill/net/hub.py
@@ -23,6 +23,7 @@
 BROKEN = select.POLLERR | select.POLLHUP | select.POLLNVAL
 SLICE = 256  # turns of tasks between two looks at descriptors and timers
 BEAT = 0.02  # seconds between two looks at how far behind the program is
+STALLED = 0.2  # seconds by which a task woke late that are told in the log: stopped, or without a core
 SPARE = 256  # workers kept without a task
 LATE = object()  # what a wait's timer brings
 POLL_PAUSE = 0.005  # seconds after a look at descriptors for which the system had no memory
@@ -233,6 +234,8 @@
             self._beat_due = time.monotonic() + BEAT
             self.sleep(BEAT)
             self._lag = max(0.0, time.monotonic() - self._beat_due)
+            if self._lag >= STALLED:
+                self.events.event("program_stalled", seconds=self._lag)
 
     def lag(self) -> float:
         """Seconds that what is ready has to wait here, as seen last, or more if that is overdue by now."""
--- a/aspenrill/net/listener.py
+++ b/aspenrill/net/listener.py
@@ -91,7 +91,7 @@
         """Accept all that wait, and close; False where the system gives none just now."""
         for _ in range(MOST_ACCEPTED):
             try:
-                self._take(self.sock.accept()[0])
+                self._take(*self.sock.accept())
             except BlockingIOError:
                 self.close()
                 return True
@@ -114,7 +114,7 @@
         accepted = 0
         while self.open:
             try:
-                sock = self.sock.accept()[0]
+                sock, peer = self.sock.accept()
             except BlockingIOError:
                 try:
                     self.hub.wait_fd(self.sock.fileno(), READ, None)
@@ -135,7 +135,7 @@
             while self.open and len(self.connections) >= self.most:
                 self._wait()
                 self._make_room(full=True)
-            self._take(sock)
+            self._take(sock, peer)
             accepted += 1
             if accepted % AT_ONCE == 0:
                 self.hub.give_way()
@@ -178,18 +178,32 @@
     def _forget(self, conn: Connection) -> None:
         if conn in self.connections:
             del self.connections[conn]
-            if conn.end_reason:
-                self.hub.events.event(
-                    "connection_closed",
-                    front=self.name,
-                    reason=conn.end_reason,
-                    idle=time.monotonic() - conn.used,
-                )
+            self._log_end(conn)
             self._one_left.set()
         conn.close()
 
-    def _take(self, sock: socket.socket) -> None:
+    def _log_end(self, conn: Connection) -> None:
+        """Each end that is not the ordinary one, the client's with nothing open; with what it cost."""
+        if not (conn.end_reason or conn.abandoned or conn.discarded):
+            return
+        costly = conn.ended_here and (conn.abandoned or conn.discarded)
+        tell = self.hub.events.always if costly else self.hub.events.event
+        now = time.monotonic()
+        tell(
+            "connection_closed",
+            front=self.name,
+            peer=conn.peer,
+            by="front_end" if conn.ended_here else "client",
+            reason=conn.end_reason,
+            age=now - conn.made_at,
+            idle=now - conn.used,
+            open=",".join(conn.abandoned),
+            discarded=conn.discarded,
+        )
+
+    def _take(self, sock: socket.socket, peer: tuple) -> None:
         conn = Connection(self.hub, sock)
+        conn.peer = f"{peer[0]}:{peer[1]}" if peer else ""
         conn.draining = self.draining
         self.connections[conn] = None
         self.hub.spawn(self._serve, conn, name=f"{self.name} connection")
--- /dev/null
+++ b/aspenrill/net/logwriter.py
@@ -0,0 +1,44 @@
+"""Writes log lines to a descriptor, each with its time, and never waits for a reader that stands still."""
+
+from __future__ import annotations
+
+import contextlib
+import os
+from collections.abc import Callable
+
+from .wallclock import timestamp
+
+MOST_HELD = 64 * 1024  # bytes of lines that a full pipe or disk does not take yet
+
+
+class LogWriter:
+    """Lines that are not taken at once are held, up to a bound, and go out before the next one. How many were
+    lost beyond it is told by a line of its own."""
+
+    def __init__(self, descriptor: int, stamp: Callable[[], str] = timestamp) -> None:
+        self._descriptor, self._stamp = descriptor, stamp
+        self._held = bytearray()
+        self._lost = 0
+
+    def __call__(self, text: str) -> None:
+        """Write one line, or hold or count it."""
+        if self._lost and self._hold(f"log_lines_lost count={self._lost}"):
+            self._lost = 0
+        if not self._hold(text):
+            self._lost += 1
+        self.flush()
+
+    def _hold(self, text: str) -> bool:
+        line = f"{self._stamp()} {text}\n".encode(errors="replace")
+        if len(self._held) + len(line) > MOST_HELD:
+            self.flush()
+        if self._held and len(self._held) + len(line) > MOST_HELD:
+            return False
+        self._held += line
+        return True
+
+    def flush(self) -> None:
+        """Pass on what is held, as far as it is taken now."""
+        with contextlib.suppress(OSError):  # a full pipe or disk: it stays held
+            while self._held:
+                del self._held[: os.write(self._descriptor, self._held)]
--- a/aspenrill/net/wallclock.py
+++ b/aspenrill/net/wallclock.py
@@ -1,8 +1,9 @@
-"""Notices steps of the machine's wall clock, for the people on call."""
+"""The wall clock, for the people on call: the time of a log line, and a line for each step of the clock."""
 
 from __future__ import annotations
 
 import time
+from datetime import UTC, datetime
 
 from .hub import Hub
 
@@ -10,6 +11,12 @@
 LEAST_STEP = 0.05  # seconds between wall and monotonic clock that count as a step; slewing is slower
 
 
+def timestamp() -> str:
+    """Now in UTC with milliseconds, as at the head of a log line."""
+    now = datetime.fromtimestamp(time.time(), UTC)
+    return now.strftime("%Y-%m-%dT%H:%M:%S.") + f"{now.microsecond // 1000:03d}Z"
+
+
 def watch_wall_clock(hub: Hub) -> None:
     """A task's work: one log line for each step."""
     offset = time.time() - time.monotonic()
--- a/aspenrill/start.py
+++ b/aspenrill/start.py
@@ -14,6 +14,7 @@
 from typing import TYPE_CHECKING, Any
 
 from .net.hub import READ, Hub
+from .net.logwriter import LogWriter
 from .net.scarcity import START_FOR, retry
 
 if TYPE_CHECKING:
@@ -34,16 +35,6 @@
     return STANDARD_ERROR
 
 
-def logger(descriptor: int) -> Callable[[str], None]:
-    """What writes log lines there. Where its disk or pipe is full a line is lost, and the program goes on."""
-
-    def say(text: str) -> None:
-        with contextlib.suppress(OSError):
-            os.write(descriptor, f"{text}\n".encode(errors="replace"))
-
-    return say
-
-
 def on_signal(hub: Hub, number: int, act: Callable[[], None]) -> None:
     """Run `act` in a task each time the signal has come."""
     ours, theirs = retry(socket.socketpair, START_FOR)
@@ -81,7 +72,8 @@
 def main(words: Sequence[str] | None = None, env: Mapping[str, str] = os.environ) -> int:
     """Run one front end until SIGTERM; 2 where its configuration cannot be used."""
     words = sys.argv[1:] if words is None else words
-    hub = Hub(logger(open_log()))
+    log = LogWriter(open_log())
+    hub = Hub(log)
     node: Node | None = None
     on_signal(hub, signal.SIGHUP, lambda: node.reload())  # first: by default it would end the program
     from .node import ConfigError, platform  # most of what is imported, and so of the time until here
@@ -106,4 +98,5 @@
     gc.freeze()
     gc.set_threshold(20000, 20, 50)
     hub.run()
+    log.flush()
     return 0
