--- a/aspenrill/net/logwriter.py
+++ b/aspenrill/net/logwriter.py
@@ -22,20 +22,20 @@
 
     def __call__(self, text: str) -> None:
         """Write one line, or hold or count it."""
-        if self._lost and self._hold(f"log_lines_lost count={self._lost}"):
-            self._lost = 0
-        if not self._hold(text):
-            self._lost += 1
-        self.flush()
-
-    def _hold(self, text: str) -> bool:
-        line = f"{self._stamp()} {text}\n".encode(errors="replace")
+        line = self._line(text)
+        if self._lost:
+            line = self._line(f"log_lines_lost count={self._lost}") + line
         if len(self._held) + len(line) > MOST_HELD:
             self.flush()
         if self._held and len(self._held) + len(line) > MOST_HELD:
-            return False
+            self._lost += 1
+            return
         self._held += line
-        return True
+        self._lost = 0
+        self.flush()
+
+    def _line(self, text: str) -> bytes:
+        return f"{self._stamp()} {text}\n".encode(errors="replace")
 
     def flush(self) -> None:
         """Pass on what is held, as far as it is taken now."""
