One harness for a front end's process and one bulletin stand-in, in standins

Cause: the configuration, the held address and the bulletin of a front end's process stood in three test files.

--- /dev/null
+++ b/standins/frontprocess.py
@@ -0,0 +1,85 @@
+"""A front end as a process of its own: its address, configuration, log and end."""
+
+from __future__ import annotations
+
+import json
+import os
+import resource
+import socket
+import subprocess
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+
+
+class FrontProcess:
+    """Holds an address on loopback for as long as it exists, whichever process listens there.
+
+    `launcher`: the words between `python` and the program's name.
+    """
+
+    def __init__(self, folder: Path, name: str, launcher: Sequence[str] = ("-m",)) -> None:
+        self.folder, self.name, self.launcher = folder, name, launcher
+        self.place = socket.socket()  # not listening: it holds its port
+        self.place.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.place.bind(("127.0.0.1", 0))
+        self.address: tuple[str, int] = self.place.getsockname()
+        self.log_path, self.config_path = folder / f"{name}.log", folder / f"{name}.json"
+        self.process: subprocess.Popen[bytes] | None = None
+
+    def configure(
+        self,
+        settings: dict,
+        hosts: Sequence[dict],
+        bulletin: tuple[str, int],
+        sockets: int = 64,
+        last: int = 1,
+    ) -> None:
+        """Write what it is told at its next start, or reads again after SIGHUP."""
+        roster = {"seq": 1, "whole": True, "hosts": list(hosts)}
+        told = {
+            "name": self.name,
+            "listen": "{}:{}".format(*self.address),
+            "seed": "1",
+            "limits": {"sockets": sockets},
+            "bulletin": "{}:{}".format(*bulletin),
+            "known": {"no": last, "items": [{"no": last, "roster": roster}]},
+            "settings": settings,
+        }
+        self.config_path.write_text(json.dumps(told))
+
+    def start(self, log_to: int | None = None, descriptors: int | None = None) -> None:
+        """A new process. `log_to`: a descriptor in place of the log file; `descriptors`: its limit."""
+        limit = None
+        if descriptors is not None:
+
+            def limit() -> None:
+                resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors))
+
+        with open(self.log_path, "ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, *self.launcher, "aspenrill"],
+                stderr=log if log_to is None else log_to,
+                env=os.environ | {"NODE_CONFIG": str(self.config_path)},
+                preexec_fn=limit,
+            )
+
+    def signal(self, number: int) -> None:
+        """Send it a signal, if it still runs."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def log(self) -> str:
+        """All that its processes have logged so far."""
+        return self.log_path.read_text() if self.log_path.exists() else ""
+
+    def stop(self) -> None:
+        """Kill the process, if there is one; the address stays held."""
+        if self.process is not None:
+            self.process.kill()
+            self.process.wait()
+
+    def close(self) -> None:
+        """Kill the process and let the address go."""
+        self.stop()
+        self.place.close()
--- a/tests/frontend.py
+++ b/tests/frontend.py
@@ -2,22 +2,18 @@
 
 from __future__ import annotations
 
-import json
-import os
-import socket
 import subprocess
-import sys
 import time
 from collections.abc import Sequence
 from pathlib import Path
 from types import SimpleNamespace
 
-from test_release import Feed
-
 from aspenrill.net.conn import Refused
 from aspenrill.net.hub import Hub
 from aspenrill.wire import bulletin as wire
 from standins.clients import ThriftClient
+from standins.discovery import LIVE, Feed, host
+from standins.frontprocess import FrontProcess
 from standins.world import HttpEngine
 
 WITHIN = 60.0  # seconds of a machine that is busy; all holds much sooner
@@ -28,59 +24,32 @@
 
     def __init__(self, folder: Path, launcher: Sequence[str], engine: type[HttpEngine] = HttpEngine) -> None:
         self.lines: list[str] = []
-        self.hub, self.folder, self.launcher = Hub(self.lines.append), folder, launcher
+        self.hub = Hub(self.lines.append)
         self.feed = Feed(self.hub, [])
         self.engines = [engine(self.hub, f"s-{number:08x}") for number in (1, 2)]
-        self.place = socket.socket()  # not listening: it holds its port
-        self.place.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.place.bind(("127.0.0.1", 0))
-        self.process: subprocess.Popen | None = None
+        self.front = FrontProcess(folder, "n", launcher)
+        self.address = self.front.address
         self.log_to: int | None = None  # a descriptor for its log in place of the file
 
+    @property
+    def process(self) -> subprocess.Popen[bytes]:
+        """The running process."""
+        return self.front.process
+
     def start(self, settings: dict, born_ms: Sequence[int | None] = (0, 0)) -> None:
         """With a list of the engines that are born by then."""
         hosts = [
-            {
-                "host": engine.name,
-                "dial": f"127.0.0.1:{engine.listener.address[1]}",
-                "site": "z",
-                "class": "k",
-                "block": 0,
-                "health": "in_service",
-                "share": 4,
-                "born_ms": born,
-            }
+            host(engine.name, engine.listener.address[1], born)
             for engine, born in zip(self.engines, born_ms, strict=True)
             if born is not None
         ]
         self.feed.events.append((1, wire.NOTHING, b""))
-        path = self.folder / "node.json"
-        path.write_text(
-            json.dumps(
-                {
-                    "name": "n",
-                    "listen": "{}:{}".format(*self.place.getsockname()),
-                    "seed": "1",
-                    "limits": {"sockets": 64},
-                    "bulletin": "{}:{}".format(*self.feed.listener.address),
-                    "known": {
-                        "no": 1,
-                        "items": [{"no": 1, "roster": {"seq": 1, "whole": True, "hosts": hosts}}],
-                    },
-                    "settings": settings,
-                }
-            )
-        )
-        with open(self.folder / "log", "wb") as log:
-            self.process = subprocess.Popen(
-                [sys.executable, *self.launcher, "aspenrill"],
-                stderr=log if self.log_to is None else self.log_to,
-                env=os.environ | {"NODE_CONFIG": str(path)},
-            )
+        self.front.configure(settings, hosts, self.feed.listener.address)
+        self.front.start(self.log_to)
 
     def client(self, cls: str) -> ThriftClient:
         """A connection to it, as soon as it is up."""
-        at, end = SimpleNamespace(hub=self.hub, address=self.place.getsockname()), time.monotonic() + WITHIN
+        at, end = SimpleNamespace(hub=self.hub, address=self.address), time.monotonic() + WITHIN
         while True:
             assert time.monotonic() < end and self.process.poll() is None, self.log()
             try:
@@ -89,27 +58,11 @@
                 self.hub.sleep(0.05)
 
     def log(self) -> str:
-        return (self.folder / "log").read_text()
+        return self.front.log()
 
     def tell(self, engine: HttpEngine, born_ms: int) -> None:
         """One more engine, by the bulletin."""
-        self.feed.events.append(
-            (
-                len(self.feed.events) + 1,
-                wire.CHANGES,
-                wire.RECORD.pack(
-                    int(engine.name[2:], 16),
-                    b"\x7f\0\0\1",
-                    engine.listener.address[1],
-                    0,
-                    0,
-                    0,
-                    0,
-                    1000,
-                    born_ms,
-                ),
-            )
-        )
+        self.feed.tell(engine.name, engine.listener.address[1], LIVE, born_ms)
 
     def begins(self, statement: str) -> list[float]:
         """When it began anywhere."""
@@ -117,8 +70,6 @@
 
     def stop(self) -> None:
         """The process and all places."""
-        if self.process is not None:
-            self.process.kill()
-            self.process.wait()
-        for place in (self.feed.listener, *(engine.listener for engine in self.engines), self.place):
-            place.close()
+        self.front.close()
+        for listener in (self.feed.listener, *(engine.listener for engine in self.engines)):
+            listener.close()
--- a/tests/test_cold_processes.py
+++ b/tests/test_cold_processes.py
@@ -21,12 +21,13 @@
 from types import SimpleNamespace
 
 import pytest
-from test_release import INFO, Feed
+from test_release import INFO
 
 from aspenrill.net.conn import Refused
 from aspenrill.net.hub import Closed, Hub, TimedOut
 from aspenrill.wire import bulletin as wire
 from standins.clients import ThriftClient
+from standins.discovery import Feed
 from standins.scene import play
 from standins.world import Act, HttpEngine
 
--- a/tests/test_release.py
+++ b/tests/test_release.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import struct
 import time
 from collections import Counter
 from types import SimpleNamespace
@@ -16,6 +15,7 @@
 from aspenrill.node import Node, platform
 from aspenrill.wire import bulletin as wire
 from standins.clients import ThriftClient
+from standins.discovery import Feed
 from standins.scene import play
 from standins.world import Act, HttpEngine
 
@@ -47,32 +47,6 @@
 }
 
 
-class Feed:
-    """A bulletin: events from the first, to each that asks for what comes after its last."""
-
-    def __init__(self, hub: Hub, events: list[tuple[int, int, bytes]]) -> None:
-        self.hub, self.events, self.tells = hub, events, True
-        self.cut: int | None = None  # bytes after which a connection breaks off
-        self.late = 0.0  # seconds between two looks at what is new
-        self.listener = Listener(hub, ("127.0.0.1", 0), self.serve, 500, "feed")
-
-    def serve(self, conn: Connection) -> None:
-        last, said = struct.unpack(">Q", conn.read(8, time.monotonic() + 5))[0], 0.0
-        while True:
-            out = b""
-            for number, kind, payload in self.events if self.tells else ():
-                if number > last:
-                    out, last = out + wire.HEAD.pack(len(payload) + 9, number, kind) + payload, number
-            if not out and time.monotonic() > said + 1:
-                out = wire.HEAD.pack(9, last, wire.NOTHING)
-            if out:
-                conn.write(out[: self.cut], time.monotonic() + 5)
-                said = time.monotonic()
-                if self.cut is not None:
-                    return  # it breaks off in the middle of what it tells
-            self.hub.sleep(self.late or 0.03)
-
-
 class Vanishing(HttpEngine):
     """Can fall silent as a machine does that is lost: what is open stays open, and nothing is said."""
 
--- a/tests/test_slow_links.py
+++ b/tests/test_slow_links.py
@@ -40,7 +40,7 @@
 def client_behind(front: FrontEnd, pieces: Sequence[Piece]) -> ThriftClient:
     """A client whose bytes come to the front end in these pieces."""
     front.client("lookup").close()  # it is up
-    link = SlowLink(front.hub, front.place.getsockname(), lambda _: (scripted(pieces), straight))
+    link = SlowLink(front.hub, front.address, lambda _: (scripted(pieces), straight))
     return ThriftClient(SimpleNamespace(hub=front.hub, address=link.address), "lookup", 30.0)
 
 
