No clock ends a client's connection, and nothing that came whole is discarded

Cause: timers of 2 and 10 s (FIRST_FOR, FRAME_FOR, WHOLE_FOR, WRITE_FOR, LOGIN_FOR, IDLE_FOR) took time without bytes for proof that nothing is under way; what came behind an end was discarded; a shutdown half-closed quiet connections 0.65 s after SIGTERM. Change: both fronts read and write without clocks, unfinished messages and unread answers are bounded in bytes, connections give way by need (net/eviction.py); messages of a client that is given up are answered at once; a shutdown ends connections 0.3 s before the kill; a passing error of recv or send (ETIMEDOUT, EHOSTUNREACH ...) and a single EMFILE end nothing; a client that ends its side gets a failure for what is open; the time that a request lay unread while the program was stopped counts; signals as the interpreter ends are ignored.

--- a/aspenrill/core/owner.py
+++ b/aspenrill/core/owner.py
@@ -185,7 +185,7 @@
     def _on_expired(self, expired: books.Expired) -> None:
         call = expired.call
         if call.open:
-            self.hub.report(f"request {call.id} had no answer at its deadline")
+            self.log.expired(call)
             self._final(call, Failed("out of time"))
             self._tell(api.ClientGone(call.id))
 
--- a/aspenrill/core/requestlog.py
+++ b/aspenrill/core/requestlog.py
@@ -46,6 +46,16 @@
         """A final answer that promises that trying again is harmless."""
         self._answered("request_refused", call, reason)
 
+    def expired(self, call: Call) -> None:
+        """No answer at its deadline: the program was stopped, or without a core."""
+        self._events.event(
+            "request_expired",
+            id=call.id,
+            cls=call.cls,
+            age=time.monotonic() - call.arrived,
+            attempts=call.sends,
+        )
+
     def failed(self, call: Call, reason: api.EndReason | None) -> None:
         """A final answer that promises nothing."""
         self._answered("request_failed", call, reason)
--- a/aspenrill/engines/base.py
+++ b/aspenrill/engines/base.py
@@ -8,7 +8,8 @@
 
 from ..api import Outcome
 from ..core.books import Attempt, Ended, Peer
-from ..net.conn import Connection, Refused
+from ..net.conn import Connection
+from ..net.connecting import Refused
 from ..net.hub import Closed, Hub, TimedOut
 from .pool import Pools
 
--- a/aspenrill/engines/http.py
+++ b/aspenrill/engines/http.py
@@ -9,7 +9,8 @@
 from ..api import Effect, NoteKind, Outcome, Settings
 from ..core.books import Attempt, Noted, Peer, Probed, Result
 from ..net.address import show
-from ..net.conn import Connection, Refused, left
+from ..net.conn import Connection, left
+from ..net.connecting import Refused
 from ..net.hub import Closed, Hub, TimedOut
 from ..wire import Malformed, http1
 from .base import Engines, Over
@@ -289,11 +290,9 @@
     def _refusal(self, head: http1.Head) -> Outcome:
         """What a bad end proves: only with X-Shed did nothing run."""
         shed = head.headers.get("x-shed") == "1"
-        if head.status == 503 and shed:
-            return Outcome.FULL
         if head.status == 504:
             return Outcome.MOOT if shed else Outcome.TIMEOUT
-        return Outcome.ERROR
+        return Outcome.FULL if head.status == 503 and shed else Outcome.ERROR
 
     def _pages(self, attempt: Attempt, conn: Connection, head: http1.Head, body: bytes) -> Result:
         """All pages, whole and in order, or the attempt has failed."""
--- a/aspenrill/engines/pool.py
+++ b/aspenrill/engines/pool.py
@@ -11,7 +11,8 @@
 from greenlet import getcurrent
 
 from ..core.books import Peer
-from ..net.conn import Connection, Refused, connect
+from ..net.conn import Connection
+from ..net.connecting import Refused, connect
 from ..net.hub import Closed, Hub, Task, TimedOut
 from ..wire import Malformed
 
--- a/aspenrill/engines/tds.py
+++ b/aspenrill/engines/tds.py
@@ -9,7 +9,8 @@
 
 from ..api import Outcome
 from ..core.books import Attempt, Peer, Probed, Result
-from ..net.conn import Connection, Refused
+from ..net.conn import Connection
+from ..net.connecting import Refused
 from ..net.hub import Closed, Hub, TimedOut
 from ..wire import Malformed, tds
 from .base import AFRESH, Engines, Over
--- a/aspenrill/fleet/peers/link.py
+++ b/aspenrill/fleet/peers/link.py
@@ -10,7 +10,8 @@
 
 from ...errors import WireTrouble
 from ...net.address import family_of
-from ...net.conn import AGAIN, Connection, Refused, connect
+from ...net.conn import AGAIN, Connection
+from ...net.connecting import Refused, connect
 from ...net.hub import READ, Closed, Hub, TimedOut
 from ...net.listener import Listener
 from .exchange import MOST_FRAME, NONCE, Exchange
--- a/aspenrill/fronts/tds.py
+++ b/aspenrill/fronts/tds.py
@@ -1,4 +1,7 @@
-"""The TDS front: one request at a time on a connection, cancelled by Attention."""
+"""The TDS front: one request at a time on a connection, cancelled by Attention.
+
+No clock ends a connection: a link may stand still, also within a message or an answer.
+"""
 
 from __future__ import annotations
 
@@ -13,18 +16,15 @@
 
 from ..core.books import Asked, Call, Failed, Final, Left, Refused, Result, Served
 from ..net.conn import Connection
-from ..net.hub import READ, Closed, Hub, Signal, TimedOut
+from ..net.heldbytes import HeldBytes
+from ..net.hub import READ, Closed, Hub, Signal
 from ..wire import Malformed, tds
 from ..wire.sql import table_group
 
-LOGIN_FOR = 2.0  # seconds for a client to log in
 MOST_LOGIN = 16 * 1024  # bytes of a message before that
-IDLE_FOR = 3600.0
-PACKET_FOR = 2.0  # seconds between two pieces of a message: some clients write slowly
-WHOLE_FOR = 10.0  # seconds for a whole message from its first packet's head
-WRITE_FOR = 10.0  # seconds for a client to take one packet
 MOST_STATEMENT = 256 * 1024
 MOST_MESSAGE = 2 * MOST_STATEMENT + 1024
+MOST_HELD = 8 * MOST_MESSAGE  # bytes of messages that have not come whole, over all connections
 REFUSED, FAILED, UNUSABLE, UNKNOWN_LOGIN, UNSUPPORTED = 50001, 50002, 50003, 18456, 50004
 KEY = re.compile(r"/\*\s*key:\s*([!-)+-~]{1,128})\s*\*/")
 
@@ -63,6 +63,7 @@
     def __init__(self, hub: Hub, mappings: Iterable[Mapping], post: Callable[[Any], None], name: str) -> None:
         self.hub, self.mappings, self.post, self.name = hub, tuple(mappings), post, name
         self.writing = 0
+        self.held = HeldBytes(MOST_HELD)
 
     def serve(self, conn: Connection) -> None:
         """A connection's task, from PRELOGIN to its end."""
@@ -93,6 +94,7 @@
         self.attention = False  # and is to be cut short
         self.ending = False  # nothing more is taken
         self.idle = Signal(service.hub)
+        conn.held = service.held
 
     def run(self) -> None:
         """Read until the client closes; a request that is open then has lost its client."""
@@ -103,7 +105,9 @@
         except Malformed as why:
             self._see_out()
             self._end_with(tds.error(UNUSABLE, str(why), 20))
-        except (Closed, TimedOut):
+        except Closed as why:
+            if self.conn.busy or not self.conn.over:
+                self.conn.end_reason = self.conn.end_reason or str(why)
             self._see_out()
         except Exception:
             self.service.hub.report("a TDS connection", traceback.format_exc())
@@ -113,7 +117,7 @@
         """Take nothing more. What comes is discarded until what is owed is written, or the client ends: then
         its request has lost it. The connection is left for its orderly close."""
         conn = self.conn
-        self.ending, conn.begun = True, False
+        self.ending, conn.begun, conn.stopped_for = True, False, ""
         try:
             while (self.call is not None or self.busy) and not conn.over:
                 conn.discard()
@@ -132,23 +136,24 @@
         if call is not None:
             self.conn.busy -= 1
             call.gone = True
+            self.conn.abandoned.append(call.id)
             self.service.post(Left(call))
 
     # ---- reading --------------------------------------------------------------------------------------
 
-    def _read(self, until: float, most: int = MOST_MESSAGE) -> tuple[int, bytes]:
-        """A whole message, its first head until then. TimedOut, Closed; Malformed where it cannot be one."""
+    def _read(self, most: int = MOST_MESSAGE) -> tuple[int, bytes]:
+        """A whole message. Closed; Malformed where it cannot be one."""
         parts, size, last, kind = [], 0, False, None
         while not last:
-            head = tds.packet_head(self.conn.read(tds.HEAD.size, until, PACKET_FOR if parts else None))
-            until, self.conn.begun = until if parts else time.monotonic() + WHOLE_FOR, True
+            head = tds.packet_head(self.conn.read(tds.HEAD.size, None))
+            self.conn.begun = True
             if kind not in (None, head[0]):
                 raise Malformed("a message of two types")
             kind = head[0]
             size += head[2]
             if size > most:
                 raise Malformed(f"message of over {most} bytes")
-            parts.append(self.conn.read(head[2], until, PACKET_FOR))
+            parts.append(self.conn.read(head[2], None))
             last = bool(head[1] & tds.END_OF_MESSAGE)
             if last and head[1] & tds.IGNORE:
                 kind, parts = 0, []
@@ -156,12 +161,11 @@
         return kind, b"".join(parts)
 
     def _open(self) -> None:
-        kind, body = self._read(time.monotonic() + LOGIN_FOR, MOST_LOGIN)
-        until = time.monotonic() + LOGIN_FOR
+        kind, body = self._read(MOST_LOGIN)
         if kind == tds.PRELOGIN:
             tds.read_prelogin(body)
-            self.conn.write(tds.packets(tds.REPLY, tds.prelogin()), until)
-            kind, body = self._read(until, MOST_LOGIN)
+            self.conn.write(tds.packets(tds.REPLY, tds.prelogin()), None)
+            kind, body = self._read(MOST_LOGIN)
         if kind != tds.LOGIN7:
             raise Malformed("no login")
         login = tds.read_login7(body)
@@ -172,14 +176,12 @@
             raise Closed("login refused")
         self.login, self.mapping = login, mapping
         self.conn.spoke, self.conn.used = True, time.monotonic()
-        self.conn.write(
-            tds.packets(tds.REPLY, tds.login_answer(login, self.service.name)), time.monotonic() + LOGIN_FOR
-        )
+        self.conn.write(tds.packets(tds.REPLY, tds.login_answer(login, self.service.name)), None)
 
     def _message(self) -> None:
         if self.conn.draining:
             self.conn.end_if_quiet()
-        kind, body = self._read(time.monotonic() + IDLE_FOR)
+        kind, body = self._read()
         self.conn.used = arrived = time.monotonic()
         if kind == tds.ATTENTION:
             self._attend()
@@ -199,7 +201,7 @@
         self._left()
         if self.busy:
             self.attention = True  # the writer ends its message with the acknowledgement
-            self.idle.wait(WRITE_FOR * 2)
+            self.idle.wait(None)
         else:
             self._say([tds.done(tds.ACKNOWLEDGED)])
 
@@ -214,7 +216,8 @@
         except ValueError as why:
             self._say([tds.error(UNUSABLE, str(why)), tds.done(tds.BAD)])
             return
-        patience = max(0.0, mapping.timeout - self.service.hub.lag())
+        spent = max(self.service.hub.lag(), arrived - self.conn.came_after)
+        patience = max(0.0, mapping.timeout - spent)
         self.call = Call(
             os.urandom(8).hex(),
             mapping.cls,
@@ -269,7 +272,8 @@
             head = tds.HEAD.pack(
                 tds.REPLY, tds.END_OF_MESSAGE if last else 0, tds.HEAD.size + len(data), 0, number & 0xFF, 0
             )
-            self.conn.write(head + data, time.monotonic() + WRITE_FOR)
+            self.conn.writing_since = time.monotonic()
+            self.conn.write(head + data, None)
 
         try:
             for token in tokens:
@@ -288,11 +292,13 @@
             late = self.attention and not bytes(held).endswith(tds.done(tds.ACKNOWLEDGED))
             if late:  # it came while the last packet went out
                 send(tds.done(tds.ACKNOWLEDGED), True)
-        except (Closed, TimedOut):
+        except Closed:
+            self.conn.over = True
             self.conn.close()  # the client can tell that the answer is not whole
             self._left()
         finally:
             self.busy = self.attention = False
+            self.conn.writing_since = 0.0
             self.conn.busy -= 1
             self.conn.used = time.monotonic()
             self.service.writing -= 1
--- a/aspenrill/net/conn.py
+++ b/aspenrill/net/conn.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from .address import family_of
+from .heldbytes import HeldBytes
 from .hub import READ, WRITE, Closed, Hub, TimedOut
 from .inbox import Inbox
 from .ring import Ring
@@ -20,23 +20,20 @@
 MOST_PARTS = 512  # that one vectored write takes, well under IOV_MAX
 AGAIN = (BlockingIOError, InterruptedError)
 NO_MEMORY = (errno.ENOBUFS, errno.ENOMEM)  # of the system, for a moment: the connection is as it was
-MEMORY_PAUSE = 0.005  # seconds until such a call is tried again
+UNREACHED = (  # the way there is broken, for a moment unless the system has given the connection up
+    errno.ETIMEDOUT,
+    errno.EHOSTUNREACH,
+    errno.ENETUNREACH,
+    errno.ENETDOWN,
+    errno.EHOSTDOWN,
+    errno.ENONET,
+    errno.EPROTO,
+    errno.ENOPROTOOPT,
+)
+ERROR_PAUSE = 0.005  # seconds until a call that failed by such an error is tried again
 PEEKS = 5  # tries of a look at what has come
 UNSEEN = b"\0"  # what a look brings that cannot be had: as if something lay there
 ENDS = getattr(select, "POLLRDHUP", 0)  # also with bytes unread before the end; 0 where the system lacks it
-SCARCE = (errno.EADDRNOTAVAIL, errno.EAGAIN, *NO_MEMORY)  # no port or room for a connection just now
-NO_SOCKET = (errno.EMFILE, errno.ENFILE, *NO_MEMORY)  # none is to be had just now
-
-
-class Refused(Exception):
-    """The connection never came up: nothing was sent on it.
-
-    `scarce`: no descriptor was left for it. `broken`: it broke before it could be used.
-    """
-
-    def __init__(self, text: str, scarce: bool = False, broken: bool = False) -> None:
-        super().__init__(text)
-        self.scarce, self.broken = scarce, broken
 
 
 def left(until: float | None) -> float | None:
@@ -63,7 +60,7 @@
         self.shut_at = 0.0
         self.ended_here = False  # this side ended it first
         self.over = False  # the other side's end has been read, or it broke
-        self.starved = False  # the system had no memory for the last write
+        self.starved = False  # the last write failed by an error that passes
         self.dry = False  # the last read took all there was: the next waits first
         self.grab = min(LEAST_READ, ring)
         self.reused = False  # for a pool: carried a call before
@@ -75,6 +72,11 @@
         self.end_reason = ""  # why this side ends it, for the log
         self.peer = ""  # the other side's address, for the log
         self.made_at = self.used
+        self.came_after = hub.news_since  # what has been read came later than that
+        self.held: HeldBytes | None = None  # where bytes of messages in parts are counted
+        self.stopped_for = ""  # why nothing more is read
+        self.evicted = False  # ended for another's place
+        self.writing_since = 0.0  # when the answer that is being written began; 0: none
         self.abandoned: list[str] = []  # ids of requests that had no answer when it ended
         self.discarded = 0  # bytes read and not taken, since this side ends it
 
@@ -110,11 +112,11 @@
         """The orderly close: `end` it, discard what comes until the other side's end or for so long, close.
 
         A close over unread bytes would reset it, and what the system has still to pass on be lost with that.
-        Where nothing was ever written there is nothing to lose, and what has come is discarded once.
+        One that was ended for another's place, and on which nothing was ever written, is closed at once.
         """
         self.end()
         self.discard()
-        until = time.monotonic() + (seconds if self.written else 0.0)
+        until = time.monotonic() + (0.0 if self.evicted and not self.written else seconds)
         try:
             while self.open and not self.over:
                 try:
@@ -125,7 +127,7 @@
                     self.hub.wait_fd(self.fd, READ, left(until))
                     continue
                 except OSError as why:
-                    if why.errno not in NO_MEMORY:
+                    if not self._passes(why):
                         break
                     self._pause(until)
                     continue
@@ -136,6 +138,12 @@
         finally:
             self.close()
 
+    def stop_reading(self, reason: str) -> None:
+        """Its reader gets Closed, now or at its next wait: what is open can still be answered."""
+        if self.open and not self.shut:
+            self.stopped_for = reason
+            self.hub.end_wait(self.fd, READ, Closed(reason))
+
     def discard(self) -> None:
         """Drop what has been read and not taken; it is counted."""
         self.discarded += len(self.incoming)
@@ -151,10 +159,13 @@
                 raise Closed("closed here")
             if self.shut:
                 raise Closed("ended here")
+            if self.stopped_for:
+                raise Closed(self.stopped_for)
             if self.dry:
                 self.dry = False
                 inbox.rest()
                 self.hub.wait_fd(self.fd, READ, left(until))
+                self.came_after = self.hub.news_since
                 continue
             try:
                 if not len(inbox):
@@ -170,7 +181,7 @@
             except AGAIN:
                 count = -1  # the wait is not within the handler: its error would hold this for as long
             except OSError as why:
-                if why.errno not in NO_MEMORY:
+                if not self._passes(why):
                     self.over = True
                     raise Closed(str(why)) from None
                 count = -3
@@ -190,20 +201,30 @@
             self.dry = True
 
     def _pause(self, until: float | None) -> None:
-        """The system had no memory: until it may have some again."""
+        """A call failed by an error that passes: until it is tried again."""
         seconds = left(until)
-        self.hub.sleep(MEMORY_PAUSE if seconds is None else min(MEMORY_PAUSE, seconds))
+        self.hub.sleep(ERROR_PAUSE if seconds is None else min(ERROR_PAUSE, seconds))
+
+    def _passes(self, why: OSError) -> bool:
+        """Whether the connection is as it was, behind an error of a call."""
+        return why.errno in NO_MEMORY or why.errno in UNREACHED and not self.hung_up()
 
-    def read(self, count: int, until: float | None, pause: float | None = None) -> bytes:
-        """Exactly so many bytes; also more than the ring holds. `pause`: seconds between two pieces."""
+    def read(self, count: int, until: float | None) -> bytes:
+        """Exactly so many bytes; also more than the ring holds."""
         if len(self.incoming) >= count:
             return self.incoming.pull(count)
         parts, missing = [], count
-        while missing:
-            if not len(self.incoming):
-                self.fill(until if pause is None else min(until, time.monotonic() + pause))
-            parts.append(self.incoming.pull(missing))
-            missing -= len(parts[-1])
+        try:
+            while missing:
+                if not len(self.incoming):
+                    self.fill(until)
+                parts.append(self.incoming.pull(missing))
+                missing -= len(parts[-1])
+                if self.held is not None and missing:
+                    self.held.hold(self, count - missing)
+        finally:
+            if self.held is not None:
+                self.held.release(self)
         return b"".join(parts)
 
     def need(self, count: int, until: float | None) -> None:
@@ -236,9 +257,9 @@
             seen = len(inbox)
             self.fill(until)
 
-    def frame(self, most: int, until: float | None, pause: float | None = None) -> tuple[bytes, int, int]:
+    def frame(self, most: int, until: float | None) -> tuple[bytes, int, int]:
         """A message behind its length of 4 bytes, as bytes with its start and end there; Closed where it is
-        empty or longer than `most`. One that came whole is not copied. `pause`: as in `read`."""
+        empty or longer than `most`. One that came whole is not copied."""
         inbox = self.incoming
         data, at = inbox.data, inbox.at
         if len(data) - at > 4:
@@ -246,10 +267,10 @@
             if 0 < size <= most and at + 4 + size <= len(data):
                 inbox.drop(4 + size)
                 return data, at + 4, at + 4 + size
-        size = int.from_bytes(self.read(4, until, pause), "big")
+        size = int.from_bytes(self.read(4, until), "big")
         if not 0 < size <= most:
             raise Closed(f"frame of {size} bytes")
-        return self.read(size, until, pause), 0, size
+        return self.read(size, until), 0, size
 
     def quiet(self) -> bool:
         """Nothing has come, no end either: fit for another call."""
@@ -278,7 +299,7 @@
             except InterruptedError:
                 continue
             except OSError as why:
-                if why.errno not in NO_MEMORY:
+                if not self._passes(why):
                     raise
         return UNSEEN
 
@@ -347,7 +368,7 @@
         except AGAIN:
             return 0
         except OSError as why:
-            if why.errno not in NO_MEMORY:
+            if not self._passes(why):
                 raise Closed(str(why)) from None
             self.starved = True
             return 0
@@ -362,36 +383,3 @@
             return b"".join([part[count:], *parts[at + 1 :]])
         count -= len(part)
     return b""
-
-
-def connect(
-    hub: Hub, address: tuple[str, int], until: float, ring: int = RING, source: str | None = None
-) -> Connection:
-    """A new connection, from the host `source` where it is given; Refused where none came up in time."""
-    try:
-        sock = socket.socket(family_of(address[0]), socket.SOCK_STREAM)
-    except OSError as why:
-        raise Refused(str(why), scarce=why.errno in NO_SOCKET) from None
-    conn = Connection(hub, sock, ring)
-    conn.dry = True  # who is called speaks after we have
-    try:
-        if source is not None:
-            try:
-                sock.bind((source, 0))
-            except OSError as why:
-                raise Refused(str(why), scarce=why.errno == errno.EADDRINUSE) from None
-        code = sock.connect_ex(address)
-        if code in (errno.EINPROGRESS, errno.EINTR):  # interrupted, it comes up all the same
-            hub.wait_fd(conn.fd, WRITE, left(until))
-            code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        if code:
-            raise Refused(
-                errno.errorcode.get(code, str(code)), scarce=code in SCARCE, broken=code == errno.ECONNRESET
-            )
-    except (TimedOut, Closed):
-        conn.close()
-        raise Refused("no connection in time") from None
-    except BaseException:
-        conn.close()
-        raise
-    return conn
--- a/aspenrill/net/hub.py
+++ b/aspenrill/net/hub.py
@@ -26,6 +26,7 @@
 STALLED = 0.2  # seconds by which a task woke late that are told in the log: stopped, or without a core
 SPARE = 256  # workers kept without a task
 LATE = object()  # what a wait's timer brings
+OVERSLEPT = 0.005  # seconds by which a look may last longer than asked
 POLL_PAUSE = 0.005  # seconds after a look at descriptors for which the system had no memory
 
 
@@ -103,6 +104,7 @@
         self.spare: list[Worker] = []  # without a task
         self._number = 0
         self._running = False
+        self._looked_at = self.news_since = time.monotonic()  # see `_date_news`
         self._lag, self._beat_due = 0.0, time.monotonic() + BEAT
         self.spawn(self.beat, name="beat")
 
@@ -265,11 +267,13 @@
             self._call_soon()
         if not self._running:
             return
-        timeout = 0.0
+        timeout, began = 0.0, time.monotonic()
         if not ready and not self._later:
             due = self.timers.next_due()
-            timeout = None if due is None else max(0.0, due - time.monotonic()) * 1000
-        for fd, got in self._poll_once(timeout):
+            timeout = None if due is None else max(0.0, due - began) * 1000
+        happened = self._poll_once(timeout)
+        self._date_news(began, timeout)
+        for fd, got in happened:
             self._happened(fd, got)
         self.timers.run_due()
         if self._later:
@@ -277,6 +281,15 @@
             for task, wait in later:
                 self.wake(task, wait)
 
+    def _date_news(self, began: float, timeout: float | None) -> None:
+        """`news_since`: no earlier than this came what the look that began then has found, and the one before
+        it had not. That is now, less what tasks took between the looks; behind a look that took longer than
+        it was to, the program was stopped meanwhile, and bytes may have come all that time."""
+        now, before = time.monotonic(), self._looked_at
+        stopped = timeout is None or now - began > timeout / 1000 + OVERSLEPT
+        self.news_since = before if stopped else now - (began - before)
+        self._looked_at = now
+
     def _poll_once(self, timeout: float | None) -> list[tuple[int, int]]:
         """What has happened; nothing where the system has no memory for the wait (ENOMEM): that passes."""
         try:
--- a/aspenrill/net/listener.py
+++ b/aspenrill/net/listener.py
@@ -1,10 +1,9 @@
 """A listening socket: one task a connection, never more than its share of descriptors.
 
-Where its share is nearly used up, quiet connections are ended: first one that has said nothing yet, then
-the one that has been quiet longest, last one with half a message. What is open on a connection keeps it.
-They end in order, each by its own task, and hold their descriptors meanwhile: a part of the share is kept
-for these, so that a new connection finds room at once. Those that clients never close are cut short where
-it does not.
+Nothing is ended by a clock. Where its share is nearly used up, the connection that is missed least is ended
+(`eviction`). What is open on a connection keeps it, but for one whose client takes no answer. They end in
+order, each by its own task, and hold their descriptors meanwhile: a part of the share is kept for these, so
+that a new connection finds room at once. Those that clients never close are cut short where it does not.
 """
 
 from __future__ import annotations
@@ -17,13 +16,13 @@
 
 from .address import family_of
 from .conn import Connection
+from .eviction import least_missed, longest_stuck
 from .hub import READ, Closed, Hub, Signal, TimedOut
 
 BACKLOG = 512
+FAILED_FULL = 3  # tries in a row that failed, from which no descriptor is held to be left
 MOST_ACCEPTED = 2 * BACKLOG  # tries to empty the backlog before others have their turn
 BREATH = 0.05  # seconds until a listener that had no descriptor left tries again
-MUTE_FOR = 0.1  # seconds after which a connection that has said nothing may have to go
-REST_FOR = 4.5  # seconds after which a quiet one goes before any fresh one: usual clients close theirs sooner
 AT_ONCE = 16  # connections accepted before others have their turn
 LINGER_FOR = 1.0  # seconds that the other side has to end a connection which we have ended
 LEAST_LINGER = 0.1  # of them, where another connection needs the place: a request may cross the end for 0.05
@@ -74,18 +73,19 @@
             with contextlib.suppress(OSError):  # the descriptor is free all the same
                 self.sock.close()
 
+    def stop_accepting(self) -> None:
+        """No further connections but those that the backlog holds; those that are open stay in use."""
+        if self.open and not self._empty_backlog():
+            self.hub.spawn(self._drain_backlog, name=f"{self.name} backlog")
+
     def drain(self) -> None:
-        """No further connections but those that the backlog holds; each ends in order once nothing is open on
-        it and nothing lies unread: `connections` is empty LINGER_FOR after the last answer at the latest.
-        """
-        if not self.open:
-            return
+        """No further connections, and each ends in order once nothing is open on it and nothing lies unread:
+        `connections` is empty LINGER_FOR after the last answer at the latest."""
         self.draining = True
         for conn in list(self.connections):
             conn.draining = True
             conn.end_if_quiet()  # else its own task does, or who writes the last answer
-        if not self._empty_backlog():
-            self.hub.spawn(self._drain_backlog, name=f"{self.name} backlog")
+        self.stop_accepting()
 
     def _empty_backlog(self) -> bool:
         """Accept all that wait, and close; False where the system gives none just now."""
@@ -111,7 +111,7 @@
         self.hub.events.event("accept_failed", front=self.name, reason=why.strerror)
 
     def _accept(self) -> None:
-        accepted = 0
+        accepted = failed = 0
         while self.open:
             try:
                 sock, peer = self.sock.accept()
@@ -126,10 +126,12 @@
                     self.hub.give_way()
                     continue
                 self._log_failure(why)
-                if why.errno in (errno.EMFILE, errno.ENFILE):
+                failed += 1
+                if why.errno in (errno.EMFILE, errno.ENFILE) and failed >= FAILED_FULL:
                     self._make_room(full=True)
                 self.hub.sleep(BREATH)
                 continue
+            failed = 0
             if len(self.connections) >= self.most - self._ending_places():
                 self._make_room()
             while self.open and len(self.connections) >= self.most:
@@ -151,29 +153,23 @@
 
     def _make_room(self, full: bool = False) -> None:
         """End the connection that is missed least, unless enough of them end. `full`: nothing is left; the
-        one that has been ending longest is cut short, once it has had LEAST_LINGER."""
-        now, best, ending, oldest = time.monotonic(), None, 0, None
-        for conn in self.connections:
-            if conn.shut:
-                ending += 1
-                if oldest is None or conn.shut_at < oldest.shut_at:
-                    oldest = conn
-                continue
-            if conn.busy or len(conn.incoming) and not conn.begun:
-                continue
-            age = now - conn.used
-            rank = int(age <= REST_FOR) * 2 + 1 if conn.spoke else int(age <= MUTE_FOR) * 2
-            if conn.spoke and conn.begun:
-                rank = 4
-            if best is None or (rank, -age) < best[0]:
-                if conn.ended() is None:
-                    continue  # a message lies there
-                best = (rank, -age), conn
+        one that has been ending longest is cut short, once it has had LEAST_LINGER, or one whose client has
+        taken no answer for long is closed."""
+        now = time.monotonic()
+        ending = [conn for conn in self.connections if conn.shut]
+        oldest = min(ending, key=lambda conn: conn.shut_at, default=None)
         if full and oldest is not None and now - oldest.shut_at >= LEAST_LINGER:
             oldest.end_reason += ", cut short"
             self._forget(oldest)
-        elif best is not None and ending < self._ending_places():
-            best[1].end("room for another")
+            return
+        found = least_missed(self.connections, now) if len(ending) < self._ending_places() else None
+        if found is not None:
+            found.evicted = True
+            found.end("room for another")
+        elif full and not ending and (stuck := longest_stuck(self.connections, now)) is not None:
+            stuck.end_reason = "its client takes no answer, room for another"
+            stuck.ended_here = True
+            stuck.close()  # its own task tells the log what that cost
 
     def _forget(self, conn: Connection) -> None:
         if conn in self.connections:
--- a/aspenrill/node.py
+++ b/aspenrill/node.py
@@ -207,17 +207,24 @@
 
     def leave(self) -> None:
         """After SIGTERM, a graceful shutdown: take what still comes, then refuse it; answer everything, drain
-        the connections, end before SIGKILL."""
-        began = time.monotonic()
+        the connections, end before SIGKILL.
+
+        Clients may use their connections until then, and what they send may be on its way for long: none is
+        ended before the last moments. The signal may have waited for as long as this program stood still.
+        """
+        began = time.monotonic() - self.hub.lag()
         self.owner.well = False
         self.hub.log("leaving")
         kill_at = began + min(max(c.patience for c in self.settings.classes), LONGEST) + KILL_AFTER
         self.hub.sleep(TAKING)
         self.owner.taking = False
         for _, listener in self.fronts:
-            listener.drain()
+            listener.stop_accepting()
         self._drained(kill_at - ANSWERED)
         self.post(Closing())
+        self.hub.sleep(0.0)  # the owner answers what is open
+        for _, listener in self.fronts:
+            listener.drain()
         self._drained(kill_at - ENDED)
         self.goodbye()
         self.hub.log(f"left with {len(self.owner.open)} requests open")
--- a/aspenrill/resolver/client.py
+++ b/aspenrill/resolver/client.py
@@ -9,7 +9,8 @@
 from collections.abc import Sequence
 
 from ..net.address import family_of
-from ..net.conn import AGAIN, Refused, connect
+from ..net.conn import AGAIN
+from ..net.connecting import Refused, connect
 from ..net.hub import READ, Closed, Hub, Queue, Signal, TimedOut
 from ..wire import Malformed, dns
 from .cache import Answer, Cache, Lifetimes
--- a/aspenrill/roster/bulletin.py
+++ b/aspenrill/roster/bulletin.py
@@ -25,7 +25,8 @@
 
 from ..api import EngineState
 from ..members import News
-from ..net.conn import Connection, Refused
+from ..net.conn import Connection
+from ..net.connecting import Refused
 from ..net.hub import Closed, Hub, Task, TimedOut
 from ..wire import Malformed
 from ..wire import bulletin as wire
--- a/aspenrill/roster/dial.py
+++ b/aspenrill/roster/dial.py
@@ -12,7 +12,8 @@
 import os
 import time
 
-from ..net.conn import Connection, Refused, connect
+from ..net.conn import Connection
+from ..net.connecting import Refused, connect
 from ..net.hub import Closed, Hub, Queue, TimedOut
 
 CONNECT_FOR = 1.6  # seconds; the latest connection that does come up takes 1.5
--- a/aspenrill/start.py
+++ b/aspenrill/start.py
@@ -98,5 +98,7 @@
     gc.freeze()
     gc.set_threshold(20000, 20, 50)
     hub.run()
+    for number in (signal.SIGHUP, signal.SIGTERM):
+        signal.signal(number, signal.SIG_IGN)  # as the interpreter ends it takes handlers back to the default
     log.flush()
     return 0
--- a/standins/clients.py
+++ b/standins/clients.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from aspenrill.engines.tds import read_packet
-from aspenrill.net.conn import connect
+from aspenrill.net.connecting import connect
 from aspenrill.wire import tds, thrift
 
 if TYPE_CHECKING:
--- a/standins/failingcalls.py
+++ b/standins/failingcalls.py
@@ -31,8 +31,9 @@
 )
 SOCKET = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 CONNECT = (errno.EADDRNOTAVAIL, errno.EAGAIN, errno.ENETUNREACH, errno.ETIMEDOUT)
-RECEIVE = (errno.ENOMEM, errno.EINTR)
-SEND = (errno.ENOBUFS, errno.ENOMEM, errno.EINTR)
+UNREACHED = (errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH)  # the way there is broken for a moment
+RECEIVE = (errno.ENOMEM, errno.EINTR, *UNREACHED)
+SEND = (errno.ENOBUFS, errno.ENOMEM, errno.EINTR, *UNREACHED)
 CLOSE = (errno.EINTR, errno.EIO)
 POLL = (errno.ENOMEM,)
 OPTION = (errno.ENOBUFS,)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -39,6 +39,7 @@
 from .links import Address, Relay
 
 BARE, WHOLE = ("-m", "aspenrill.fleet.peer"), ("-m", "aspenrill")
+TIME = re.compile(r"^\d{4}-\S+Z ", re.M)  # at the head of a log line
 SAID = re.compile(r"^member (\S+) (\d+) (\w+)$", re.M)
 BEGAN = re.compile(r"^fleet: .* incarnation (\d+)$", re.M)
 PATIENCE = 45.0  # seconds until a condition counts as one that never comes
@@ -125,10 +126,12 @@
         return self.running.pid
 
     def text(self, life: int = -1) -> str:
-        """What one of its lives has logged; the last by default."""
+        """What one of its lives has logged, without the times; the last by default."""
         data = self.log.read_bytes()
         ends = [*self.lives[1:], len(data)]
-        return data[self.lives[life] : ends[life]].decode(errors="replace") if self.lives else ""
+        if not self.lives:
+            return ""
+        return TIME.sub("", data[self.lives[life] : ends[life]].decode(errors="replace"))
 
     def said(self, life: int = -1) -> list[tuple[str, int, str]]:
         """All that it has said of others, in order: name, incarnation and state."""
--- a/standins/soak/clients.py
+++ b/standins/soak/clients.py
@@ -8,7 +8,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from aspenrill.net.conn import Connection, Refused, connect
+from aspenrill.net.conn import Connection
+from aspenrill.net.connecting import Refused, connect
 from aspenrill.net.hub import Closed, Hub, TimedOut
 from aspenrill.wire import Malformed, thrift
 
--- a/standins/soak/day.py
+++ b/standins/soak/day.py
@@ -8,7 +8,7 @@
 import time
 from pathlib import Path
 
-from aspenrill.net.conn import Refused, connect
+from aspenrill.net.connecting import Refused, connect
 from aspenrill.net.hub import Closed, Hub, TimedOut
 from aspenrill.wire import bulletin as wire
 from aspenrill.wire import thrift
--- a/standins/soak/strangers.py
+++ b/standins/soak/strangers.py
@@ -7,7 +7,8 @@
 import time
 from collections.abc import Callable
 
-from aspenrill.net.conn import Connection, Refused, connect
+from aspenrill.net.conn import Connection
+from aspenrill.net.connecting import Refused, connect
 from aspenrill.net.hub import Closed, Hub, TimedOut
 from aspenrill.wire import thrift
 
--- a/tests/frontend.py
+++ b/tests/frontend.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from types import SimpleNamespace
 
-from aspenrill.net.conn import Refused
+from aspenrill.net.connecting import Refused
 from aspenrill.net.hub import Hub
 from aspenrill.wire import bulletin as wire
 from standins.clients import ThriftClient
--- /dev/null
+++ b/tests/test_answer_writer.py
@@ -0,0 +1,77 @@
+"""Answers that a client does not take at once: whole, in order, bounded, dropped where it gives them up."""
+
+from __future__ import annotations
+
+import socket
+
+import pytest
+from stubborn import pair
+
+from aspenrill.fronts.thrift_answers import AnswerWriter, UnreadBytes
+from aspenrill.net.conn import Connection
+from aspenrill.net.hub import Hub
+from aspenrill.wire import thrift
+from standins.scene import play
+
+SIZE = 200_000  # bytes of an answer: the system's buffers take few of them
+
+
+def writer_of(most: int, take: int) -> tuple[Hub, AnswerWriter, Connection, socket.socket]:
+    """A writer whose first write takes so many bytes."""
+    hub = Hub()
+    conn, far = pair(hub, sendmsg=[take], send=[take])
+    return hub, AnswerWriter(hub, conn, UnreadBytes(most)), conn, far
+
+
+def received(hub: Hub, far: socket.socket, count: int) -> bytes:
+    far.setblocking(False)
+    data = b""
+    while len(data) < count:
+        try:
+            data += far.recv(1 << 16)
+        except BlockingIOError:
+            hub.sleep(0.005)
+    return data
+
+
+def test_an_answer_that_is_given_up_in_the_queue_is_dropped_and_no_other():
+    hub, writer, conn, far = writer_of(1 << 30, 10)
+    got: list[bytes] = []
+
+    def scene() -> None:
+        for number, letter in ((1, b"a"), (2, b"b"), (3, b"c")):
+            writer.say(number, letter * SIZE)
+        writer.flush()
+        writer.forget(1)  # a part of it has gone out
+        writer.forget(2)
+        writer.say(4, b"d" * SIZE)
+        writer.forget(5)
+        got.append(received(hub, far, 3 * SIZE))
+        writer.wait()
+
+    play(hub, scene)
+    assert got == [b"a" * SIZE + b"c" * SIZE + b"d" * SIZE]
+    assert writer.unread.total == writer.unread.writing == conn.busy == 0
+    conn.close()
+    far.close()
+
+
+@pytest.mark.parametrize("most", [SIZE, 2 * SIZE])
+def test_beyond_the_bound_an_answer_becomes_a_failure(most):
+    hub, writer, conn, far = writer_of(most, 0)
+    failure = thrift.thrown("serve", 3, 2, {"reason": "answers are not read"})
+    kept = most // SIZE
+    got: list[bytes] = []
+
+    def scene() -> None:
+        for number in (1, 2, 3):
+            writer.say(number, b"x" * SIZE)
+        writer.flush()
+        got.append(received(hub, far, kept * SIZE + (3 - kept) * len(failure)))
+        writer.wait()
+
+    play(hub, scene)
+    assert got[0][: kept * SIZE] == b"x" * kept * SIZE and got[0].endswith(failure)
+    assert writer.unread.total == 0
+    conn.close()
+    far.close()
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -12,7 +12,7 @@
 from aspenrill import api
 from aspenrill.core.books import Ended
 from aspenrill.engines import pool
-from aspenrill.net.conn import Refused
+from aspenrill.net.connecting import Refused
 from aspenrill.net.hub import Signal
 from aspenrill.wire import tds
 from standins.world import World
--- a/tests/test_attempts_ended.py
+++ b/tests/test_attempts_ended.py
@@ -10,7 +10,7 @@
 from aspenrill import api
 from aspenrill.core.books import Attempt
 from aspenrill.engines import pool
-from aspenrill.net.conn import Refused
+from aspenrill.net.connecting import Refused
 from aspenrill.net.hub import Signal
 
 
--- a/tests/test_cold_processes.py
+++ b/tests/test_cold_processes.py
@@ -23,7 +23,7 @@
 import pytest
 from test_release import INFO
 
-from aspenrill.net.conn import Refused
+from aspenrill.net.connecting import Refused
 from aspenrill.net.hub import Closed, Hub, TimedOut
 from aspenrill.wire import bulletin as wire
 from standins.clients import ThriftClient
--- a/tests/test_failing_calls.py
+++ b/tests/test_failing_calls.py
@@ -11,7 +11,7 @@
 from frontend import WITHIN, FrontEnd
 from test_release import INFO
 
-from aspenrill.net.conn import Refused
+from aspenrill.net.connecting import Refused
 from aspenrill.net.hub import Closed, TimedOut
 from standins.clients import ThriftClient
 from standins.scene import play
--- a/tests/test_fleet_faults.py
+++ b/tests/test_fleet_faults.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from aspenrill.net.conn import Refused
+from aspenrill.net.connecting import Refused
 from aspenrill.net.hub import Hub
 from standins.clients import TdsClient
 from standins.fleet import Fleet
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -10,7 +10,7 @@
 from aspenrill.core.books import Attempt, Call, Peer
 from aspenrill.engines import pool
 from aspenrill.engines.http import PAUSE_MOST, HttpEngines, meter
-from aspenrill.net.conn import Refused
+from aspenrill.net.connecting import Refused
 from aspenrill.net.hub import Hub
 from aspenrill.wire import http1
 from standins.clients import Reply
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -13,7 +13,7 @@
 from hypothesis import strategies as st
 from stubborn import pair
 
-from aspenrill.net.conn import Refused, connect
+from aspenrill.net.connecting import Refused, connect
 from aspenrill.net.hub import Closed, Hub
 from aspenrill.net.inbox import Inbox
 from aspenrill.net.listener import Listener
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -10,7 +10,8 @@
 from aspenrill.api import EngineState
 from aspenrill.core.books import Peer
 from aspenrill.engines import pool
-from aspenrill.net.conn import Connection, Refused
+from aspenrill.net.conn import Connection
+from aspenrill.net.connecting import Refused
 from aspenrill.net.hub import LATE, Hub, Signal, TimedOut
 from standins.scene import play
 
--- a/tests/test_ready.py
+++ b/tests/test_ready.py
@@ -20,7 +20,8 @@
 from frontend import FrontEnd
 from test_release import INFO
 
-from aspenrill.net.conn import Connection, Refused
+from aspenrill.net.conn import Connection
+from aspenrill.net.connecting import Refused
 from aspenrill.net.hub import Closed, Hub, TimedOut
 from aspenrill.net.listener import Listener
 from aspenrill.wire import bulletin as wire
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -13,7 +13,8 @@
 
 import pytest
 
-from aspenrill.net.conn import Connection, Refused
+from aspenrill.net.conn import Connection
+from aspenrill.net.connecting import Refused
 from aspenrill.net.hub import Closed, Hub, TimedOut
 from aspenrill.net.listener import Listener
 from aspenrill.resolver.client import Resolver
