--- a/aspenrill/fronts/tds.py
+++ b/aspenrill/fronts/tds.py
@@ -230,6 +230,7 @@
             self._answer,
         )
         self.conn.busy += 1
+        self.conn.requests += 1
         self.service.post(Asked(self.call))
 
     # ---- writing --------------------------------------------------------------------------------------
--- a/aspenrill/fronts/thrift.py
+++ b/aspenrill/fronts/thrift.py
@@ -287,6 +287,7 @@
             return
         self.open[seqid] = call
         self.conn.busy += 1
+        self.conn.requests += 1
         self.service.post(Asked(call))
 
     def _answer(self, call: Call, final: Final) -> None:
--- a/aspenrill/net/conn.py
+++ b/aspenrill/net/conn.py
@@ -67,6 +67,7 @@
         self.begun = False  # within a message, so that nobody else can read on
         self.written = 0  # bytes that the system has taken over
         self.spoke, self.busy = False, 0  # for a listener: sent a whole message; how much is open on it
+        self.requests = 0  # that have come on it
         self.draining = False  # to end, in order, once nothing is open on it
         self.used = time.monotonic()  # when it was last of use
         self.end_reason = ""  # why this side ends it, for the log
--- a/aspenrill/net/eviction.py
+++ b/aspenrill/net/eviction.py
@@ -18,8 +18,9 @@
     RESTED = 0  # silent for longer than usual clients stay
     MUTE = 1  # has said nothing yet
     NEW = 2
-    QUIET = 3
-    UNFINISHED = 4  # half a message has come
+    ASKED_NOTHING = 3  # has spoken, but never sent a request
+    QUIET = 4
+    UNFINISHED = 5  # half a message has come
 
 
 def standing(conn: Connection, now: float) -> Standing:
@@ -30,7 +31,7 @@
     if silent > REST_FOR:
         return Standing.RESTED
     if conn.spoke:
-        return Standing.QUIET
+        return Standing.QUIET if conn.requests else Standing.ASKED_NOTHING
     return Standing.MUTE if silent > MUTE_FOR else Standing.NEW
 
 
--- a/aspenrill/net/hub.py
+++ b/aspenrill/net/hub.py
@@ -271,9 +271,7 @@
         if not ready and not self._later:
             due = self.timers.next_due()
             timeout = None if due is None else max(0.0, due - began) * 1000
-        happened = self._poll_once(timeout)
-        self._date_news(began, timeout)
-        for fd, got in happened:
+        for fd, got in self._look(began, timeout):
             self._happened(fd, got)
         self.timers.run_due()
         if self._later:
@@ -290,14 +288,17 @@
         self.news_since = before if stopped else now - (began - before)
         self._looked_at = now
 
-    def _poll_once(self, timeout: float | None) -> list[tuple[int, int]]:
-        """What has happened; nothing where the system has no memory for the wait (ENOMEM): that passes."""
+    def _look(self, began: float, timeout: float | None) -> list[tuple[int, int]]:
+        """What has happened; nothing where the system has no memory for the wait (ENOMEM): that passes, and
+        was no look."""
         try:
-            return self._poll.poll(timeout)
+            happened = self._poll.poll(timeout)
         except OSError as why:
             self.events.event("poll_failed", reason=why.strerror)
             time.sleep(POLL_PAUSE)
             return []
+        self._date_news(began, timeout)
+        return happened
 
     def _call_soon(self) -> None:
         calls, self._soon = self._soon, []
--- a/aspenrill/net/listener.py
+++ b/aspenrill/net/listener.py
@@ -87,6 +87,13 @@
             conn.end_if_quiet()  # else its own task does, or who writes the last answer
         self.stop_accepting()
 
+    def close_all(self, reason: str) -> None:
+        """The end of the program: what is still open is closed, and the log tells of each what that cost."""
+        for conn in list(self.connections):
+            conn.ended_here = conn.ended_here or not conn.over
+            conn.end_reason = conn.end_reason or reason
+            self._forget(conn)
+
     def _empty_backlog(self) -> bool:
         """Accept all that wait, and close; False where the system gives none just now."""
         for _ in range(MOST_ACCEPTED):
--- a/aspenrill/node.py
+++ b/aspenrill/node.py
@@ -226,6 +226,8 @@
         for _, listener in self.fronts:
             listener.drain()
         self._drained(kill_at - ENDED)
+        for _, listener in self.fronts:
+            listener.close_all("the program ends")
         self.goodbye()
         self.hub.log(f"left with {len(self.owner.open)} requests open")
         self.hub.stop()
--- a/standins/slowlink.py
+++ b/standins/slowlink.py
@@ -201,7 +201,10 @@
                 self._end()
         except _HalfClosed:
             self._end()
-        except (ConnectionResetError, Closed, TimedOut):
+        except Closed:
+            if not self.to_target:
+                self._break()  # else what the target has said before is still on its way
+        except (ConnectionResetError, TimedOut):
             self._break()
         finally:
             self.over = True
--- a/standins/soak/clients.py
+++ b/standins/soak/clients.py
@@ -62,7 +62,7 @@
                 self.hub.sleep(TRY_AGAIN)
                 continue
             note = ClientConnection(self.behaviour.front, time.monotonic())
-            note.peer = "{}:{}".format(*conn.sock.getsockname())
+            note.peer, note.link = "{}:{}".format(*conn.sock.getsockname()), self.address
             ClientSession(self, conn, note).run()
             self.hub.sleep(TRY_AGAIN)
 
--- a/standins/soak/day.py
+++ b/standins/soak/day.py
@@ -93,9 +93,10 @@
                 front.close()
             for link in self.links:
                 link.close()
-        traces = {peer: trace for link in self.links for peer, trace in link.traces.items()}
+        traces = {link.address: link.traces for link in self.links}
         for request in self.records.requests:
-            request.connection.trace = traces.get(request.connection.peer)
+            connection = request.connection
+            connection.trace = traces[connection.link].get(connection.peer)
         self.records.attempts = [note for engine in self.engines for note in engine.notes]
         self.records.logs = {front.name: front.log() for front in self.fronts}
         return self.records
--- a/standins/soak/records.py
+++ b/standins/soak/records.py
@@ -24,7 +24,8 @@
     front: str
     opened: float
     trace: Trace | None = None  # known once the link has accepted it
-    peer: str = ""  # the client's own address: the link's trace goes by it
+    peer: str = ""  # the client's own address, and the link's: its trace goes by both
+    link: tuple[str, int] = ("", 0)
     ended_at: float | None = None  # by the other side
     closed_at: float | None = None  # by the client
     faults: list[str] = field(default_factory=list)  # answers that nobody asked for, or that cannot be read
