--- a/tests/test_news_since.py
+++ b/tests/test_news_since.py
@@ -41,10 +41,7 @@
     def scene() -> None:
         hub.sleep(0.05)
         came = time.monotonic()
-        hub._poll = type(
-            "Poll", (), {"poll": staticmethod(poll), "__getattr__": lambda _, n: getattr(kept, n)}
-        )()
-        stops.append(1)
+        hub._poll = StoppedPoll(hub._poll, lambda: theirs.send(b"x"), fails)
         hub.wait_fd(ours.fileno(), READ, 5.0)
         dated.append((came, hub.news_since, time.monotonic()))
 
