--- a/aspenrill/fronts/thrift.py
+++ b/aspenrill/fronts/thrift.py
@@ -33,6 +33,10 @@
 FORGET = b"\x80\1\0\4\0\0\0\x06forget"  # how such a message begins
 
 
+class ClientGone(Closed):
+    """The client has ended its side, behind bytes that nobody has read."""
+
+
 class Service:
     """What the connections of this front share."""
 
@@ -81,6 +85,8 @@
             self._take_all()
         except Closed as why:
             self._note_end(str(why))
+            if self.conn.over or isinstance(why, ClientGone):
+                self._answer_gone()
         except Exception:
             self.service.hub.report("a thrift connection", traceback.format_exc())
         self._see_out()
@@ -117,8 +123,7 @@
         if not self.conn.open:
             raise Closed("closed here")
         if self.conn.hung_up():
-            self._answer_gone()
-            raise Closed("the client has gone")
+            raise ClientGone("the client has gone")
 
     def _look_ahead(self) -> None:
         """Before messages are taken behind others: whether their client still waits. Its end, or a `forget`,
@@ -144,7 +149,7 @@
         if not len(conn.incoming):
             if conn.draining:
                 conn.end_if_quiet()
-            self._fill()
+            conn.fill(None)
             self.unseen = True
         conn.begun = True
         data, start, end = conn.frame(MOST_FRAME, None)
@@ -160,15 +165,6 @@
             self.service.hub.report("a thrift message", traceback.format_exc())
             self._answer_fault(data[start:end])
 
-    def _fill(self) -> None:
-        """Wait for a message to begin. A client that ends its side has gone, and what is open has lost it."""
-        try:
-            self.conn.fill(None)
-        except Closed:
-            if self.conn.over:
-                self._answer_gone()
-            raise
-
     def _message(self, data: bytes, start: int, end: int, arrived: float) -> None:
         if self.refusing:
             self._refuse(data[start:end])
--- a/tests/test_ready.py
+++ b/tests/test_ready.py
@@ -6,11 +6,13 @@
 import json
 import os
 import resource
+import signal
 import socket
 import struct
 import subprocess
 import sys
 import time
+import tomllib
 from collections.abc import Callable, Iterator
 from pathlib import Path
 from types import SimpleNamespace
@@ -205,6 +207,19 @@
     assert ended.returncode == 2 and "NODE_CONFIG: not set" in ended.stderr, ended
 
 
+@pytest.mark.parametrize("after", [0.02, 0.04, 0.06, 0.1])
+def test_a_sighup_in_the_first_moments_does_not_end_it(after):
+    # before it has its handler, by default, the signal ends the process that deploy/balancer.toml starts
+    root = Path(__file__).resolve().parent.parent
+    told = tomllib.loads((root / "deploy" / "balancer.toml").read_text())
+    words = told["run"].replace(".venv/bin/python", sys.executable)
+    env = {name: value for name, value in os.environ.items() if name != "NODE_CONFIG"}
+    process = subprocess.Popen(["/bin/sh", "-c", words], cwd=root, env=env, stderr=subprocess.PIPE)
+    time.sleep(after)
+    process.send_signal(signal.SIGHUP)
+    assert process.wait(WITHIN) == 2 and b"NODE_CONFIG: not set" in process.stderr.read()
+
+
 def test_a_log_that_nobody_reads_does_not_stop_the_program(tmp_path):
     # standard error is a pipe of one page, whose reader stands still; each refusal is a line
     front = FrontEnd(tmp_path, ("-m",))
