--- a/standins/soak/plan.py
+++ b/standins/soak/plan.py
@@ -5,7 +5,7 @@
 import random
 import signal
 from collections.abc import Collection
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 
 from ..slowlink import Rough
@@ -15,6 +15,7 @@
     3.0,
 )  # seconds behind the longest deadline, LONGEST at most, from SIGTERM to SIGKILL
 LEAST_DEADLINE = 0.3  # seconds
+LEAST_CROSSINGS = 10  # of links to engines by their usual delay that fit in the shortest deadline
 RESTART_LATEST = 1.0  # seconds into the day
 CLASS_NAMES = ("lookup", "booking", "report", "once")
 EFFECTS = ("repeatable", "by_key", "repeatable", "once")
@@ -159,7 +160,13 @@
 
     rng = stream("engines")
     trouble = rng.choice((0.1, 0.5)) if Kind.ENGINES in kinds else 0.0
-    engine_link = _rough(rng, True) if Kind.ENGINE_LINKS in kinds else None
+    engine_link = None
+    if Kind.ENGINE_LINKS in kinds:
+        engine_link = _rough(rng, True)
+        most = (
+            min(deadlines) / LEAST_CROSSINGS
+        )  # else hardly a request can be served, and the day proves little
+        engine_link = replace(engine_link, delay=min(engine_link.delay, most))
 
     rng = stream("lists")
     changes = [(rng.uniform(0.5, seconds), at) for at in range(engines - 2)] if Kind.LISTS in kinds else []
