--- a/aspenrill/fronts/thrift.py
+++ b/aspenrill/fronts/thrift.py
@@ -274,7 +274,8 @@
     def _serve(self, seqid: int, fields: dict[bytes, bytes] | None, statement: Any, arrived: float) -> None:
         if seqid in self.forgotten:
             return
-        spent = max(self.service.hub.lag(), arrived - self.conn.came_after)
+        lag, lay = self.service.hub.lag(), arrived - self.conn.came_after
+        spent = lag if lag > lay else lay
         try:
             call = self.service.reader.read(fields, statement, arrived, spent, self._answer, seqid)
         except ValueError as why:
--- a/aspenrill/fronts/thrift_answers.py
+++ b/aspenrill/fronts/thrift_answers.py
@@ -36,7 +36,6 @@
     def __init__(self, hub: Hub, conn: Connection, unread: UnreadBytes) -> None:
         self.hub, self.conn, self.unread = hub, conn, unread
         self._parts: list[bytes] = []  # of messages that go out together
-        self._messages: list[tuple[int, int]] = []  # of each its call's number, and of how many parts it is
         self._queue: deque[tuple[int, bytes]] = deque()  # messages that the client did not take at once
         self.busy = False
         self._done: Signal | None = None
@@ -55,7 +54,6 @@
             self.conn.busy += 1  # it must not give way to another before this has gone out
             self.hub.soon(self.flush)
         self._parts += parts
-        self._messages.append((number, len(parts)))
 
     def forget(self, number: int) -> None:
         """The client does not want that answer any more: it is dropped if nothing of it has gone out."""
@@ -67,7 +65,6 @@
     def flush(self) -> None:
         """Pass on what has been said since the last look."""
         parts, self._parts = self._parts, []
-        messages, self._messages = self._messages, []
         if not parts:
             return
         self.conn.busy -= 1
@@ -79,7 +76,7 @@
             self._break()
             return
         if rest:
-            self._begin(parts, messages, rest)
+            self._begin(parts, rest)
         elif self.conn.draining:
             self.conn.end_if_quiet()
 
@@ -89,20 +86,20 @@
             self._done = Signal(self.hub)
             self._done.wait(None)
 
-    def _begin(self, parts: list[bytes], messages: list[tuple[int, int]], rest: bytes) -> None:
+    def _begin(self, parts: list[bytes], rest: bytes) -> None:
         """A task for what the system did not take; each message that has not begun waits by itself."""
         self.busy = True
         self.conn.busy += 1
         self.unread.writing += 1
-        sent = sum(map(len, parts)) - len(rest)
-        part = end = 0
-        for number, count in messages:
-            begin, end = end, end + sum(map(len, parts[part : part + count]))
-            part += count
-            if end > sent:
-                whole = begin >= sent
-                data = rest[max(0, begin - sent) : end - sent]
-                self._wait_in_line(number if whole else BEGUN, data)
+        data = b"".join(parts)
+        sent, at = len(data) - len(rest), 0
+        while at < len(data):
+            begin, at = at, at + thrift.frame_size(data, at)
+            if begin >= sent:
+                message = data[begin:at]
+                self._wait_in_line(thrift.number_of(message), message)
+            elif at > sent:
+                self._wait_in_line(BEGUN, data[sent:at])
         self.hub.spawn(self._write, name="thrift writer")
 
     def _wait_in_line(self, number: int, data: bytes) -> None:
--- a/aspenrill/net/eventlog.py
+++ b/aspenrill/net/eventlog.py
@@ -39,10 +39,13 @@
         if window.suppressed:
             fields["suppressed"] = window.suppressed
             window.suppressed = 0
-        self.always(name, **fields)
+        self._tell(name, fields)
 
     def always(self, name: str, **fields: object) -> None:
         """One line, whatever else came: for what is bounded by itself and must not be missed."""
+        self._tell(name, fields)
+
+    def _tell(self, name: str, fields: dict[str, object]) -> None:
         self._write(" ".join([name, *(f"{key}={_text(value)}" for key, value in fields.items())]))
 
 
--- a/aspenrill/net/wallclock.py
+++ b/aspenrill/net/wallclock.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import time
-from datetime import UTC, datetime
 
 from .hub import Hub
 
@@ -11,10 +10,19 @@
 LEAST_STEP = 0.05  # seconds between wall and monotonic clock that count as a step; slewing is slower
 
 
-def timestamp() -> str:
-    """Now in UTC with milliseconds, as at the head of a log line."""
-    now = datetime.fromtimestamp(time.time(), UTC)
-    return now.strftime("%Y-%m-%dT%H:%M:%S.") + f"{now.microsecond // 1000:03d}Z"
+class Timestamps:
+    """Times in UTC with milliseconds, as at the head of log lines. The text of a second is made once."""
+
+    def __init__(self) -> None:
+        self._second, self._text = -1, ""
+
+    def __call__(self) -> str:
+        """Now."""
+        milliseconds = time.time_ns() // 1_000_000
+        second = milliseconds // 1000
+        if second != self._second:
+            self._second, self._text = second, time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(second))
+        return f"{self._text}.{milliseconds % 1000:03d}Z"
 
 
 def watch_wall_clock(hub: Hub) -> None:
--- a/aspenrill/wire/thrift.py
+++ b/aspenrill/wire/thrift.py
@@ -111,6 +111,17 @@
     return Message(head & 0xFF, name, seqid, args)
 
 
+def frame_size(data: bytes, at: int) -> int:
+    """Bytes of the frame that begins there, with its length."""
+    return 4 + int.from_bytes(data[at : at + 4], "big")
+
+
+def number_of(framed: bytes) -> int:
+    """The sequence number of a whole framed message of ours."""
+    behind_name = 12 + int.from_bytes(framed[8:12], "big")
+    return int.from_bytes(framed[behind_name : behind_name + 4], "big", signed=True)
+
+
 def blob(data: bytes) -> bytes:
     """A string or binary value."""
     return struct.pack(">i", len(data)) + data
--- a/tests/test_answer_writer.py
+++ b/tests/test_answer_writer.py
@@ -16,6 +16,10 @@
 SIZE = 200_000  # bytes of an answer: the system's buffers take few of them
 
 
+def answer(number: int, letter: bytes) -> bytes:
+    return thrift.answer("serve", number, letter * SIZE, {}, True)
+
+
 def writer_of(most: int, take: int) -> tuple[Hub, AnswerWriter, Connection, socket.socket]:
     """A writer whose first write takes so many bytes."""
     hub = Hub()
@@ -40,38 +44,38 @@
 
     def scene() -> None:
         for number, letter in ((1, b"a"), (2, b"b"), (3, b"c")):
-            writer.say(number, letter * SIZE)
+            writer.say(number, answer(number, letter))
         writer.flush()
         writer.forget(1)  # a part of it has gone out
         writer.forget(2)
-        writer.say(4, b"d" * SIZE)
+        writer.say(4, answer(4, b"d"))
         writer.forget(5)
-        got.append(received(hub, far, 3 * SIZE))
+        got.append(received(hub, far, 3 * len(answer(1, b"a"))))
         writer.wait()
 
     play(hub, scene)
-    assert got == [b"a" * SIZE + b"c" * SIZE + b"d" * SIZE]
+    assert got == [answer(1, b"a") + answer(3, b"c") + answer(4, b"d")]
     assert writer.unread.total == writer.unread.writing == conn.busy == 0
     conn.close()
     far.close()
 
 
-@pytest.mark.parametrize("most", [SIZE, 2 * SIZE])
-def test_beyond_the_bound_an_answer_becomes_a_failure(most):
-    hub, writer, conn, far = writer_of(most, 0)
+@pytest.mark.parametrize("kept", [1, 2])
+def test_beyond_the_bound_an_answer_becomes_a_failure(kept):
+    whole = b"".join(answer(number, b"x") for number in range(1, kept + 1))
+    hub, writer, conn, far = writer_of(len(whole), 0)
     failure = thrift.thrown("serve", 3, 2, {"reason": "answers are not read"})
-    kept = most // SIZE
     got: list[bytes] = []
 
     def scene() -> None:
         for number in (1, 2, 3):
-            writer.say(number, b"x" * SIZE)
+            writer.say(number, answer(number, b"x"))
         writer.flush()
-        got.append(received(hub, far, kept * SIZE + (3 - kept) * len(failure)))
+        got.append(received(hub, far, len(whole) + (3 - kept) * len(failure)))
         writer.wait()
 
     play(hub, scene)
-    assert got[0][: kept * SIZE] == b"x" * kept * SIZE and got[0].endswith(failure)
+    assert got[0].startswith(whole) and got[0].endswith(failure)
     assert writer.unread.total == 0
     conn.close()
     far.close()
--- a/tests/test_cold_processes.py
+++ b/tests/test_cold_processes.py
@@ -25,9 +25,8 @@
 
 from aspenrill.net.connecting import Refused
 from aspenrill.net.hub import Closed, Hub, TimedOut
-from aspenrill.wire import bulletin as wire
 from standins.clients import ThriftClient
-from standins.discovery import Feed
+from standins.discovery import LIVE, Feed, host
 from standins.scene import play
 from standins.world import Act, HttpEngine
 
@@ -66,20 +65,8 @@
     def tell(self, engine: HttpEngine, born_ms: int) -> None:
         """One more engine, to the bulletin and to whoever is started from now on."""
         port = engine.listener.address[1]
-        self.hosts.append(
-            {
-                "host": engine.name,
-                "dial": f"127.0.0.1:{port}",
-                "site": "z",
-                "class": "k",
-                "block": 0,
-                "health": "in_service",
-                "share": 4,
-                "born_ms": born_ms,
-            }
-        )
-        record = wire.RECORD.pack(int(engine.name[2:], 16), b"\x7f\0\0\1", port, 0, 0, 0, 0, 1000, born_ms)
-        self.feed.events.append((len(self.hosts), wire.CHANGES, record))
+        self.hosts.append(host(engine.name, port, born_ms))
+        self.feed.tell(engine.name, port, LIVE, born_ms)
 
     def start(self, me: int) -> None:
         path, no = self.folder / f"n{me}.json", len(self.hosts)
--- a/tests/test_ready.py
+++ b/tests/test_ready.py
@@ -29,6 +29,7 @@
 from aspenrill.wire import bulletin as wire
 from aspenrill.wire import thrift
 from standins.clients import ThriftClient
+from standins.discovery import host
 from standins.scene import play
 from standins.world import Act, HttpEngine
 
@@ -52,19 +53,7 @@
     def start(self, hosts: list[tuple[str, int]], sockets: int) -> None:
         """With a list that it knows, and so many descriptors."""
         path = self.folder / "node.json"
-        known = [
-            {
-                "host": host,
-                "dial": f"127.0.0.1:{port}",
-                "site": "z",
-                "class": "k",
-                "block": 0,
-                "health": "in_service",
-                "share": 4,
-                "born_ms": 0,
-            }
-            for host, port in hosts
-        ]
+        known = [host(name, port) for name, port in hosts]
         path.write_text(
             json.dumps(
                 {
