--- a/standins/soak/clients.py
+++ b/standins/soak/clients.py
@@ -20,6 +20,7 @@
 MOST_OPEN = 32  # by the protocol
 TRY_AGAIN = 0.2  # seconds until a new connection after one that ended or was refused
 PATIENT_FOR = 0.5  # seconds past its time in which a client on a straight link still takes an answer
+CLUMSY_ODDS, MOST_CLUMSY = 0.1, 8  # that an unusable message goes before a request; on one connection at most
 LEAVES = 0.01  # share of requests behind which a client closes its connection with all that is open
 LARGE, SMALL = 900, 3  # rows of a result; one in LARGE_ODDS is large
 LARGE_ODDS = 30
@@ -35,6 +36,7 @@
     rate: float  # requests a second
     straight: bool  # its link delays nothing, so that it may expect each answer in time
     deadlines: tuple[float, ...]  # the longest of each class
+    clumsy: bool = False  # sends a message now and then that cannot be used
 
 
 class SoakClient:
@@ -85,6 +87,7 @@
         self.client, self.conn, self.note, self.hub = client, conn, note, client.hub
         self.open: dict[int, ClientRequest] = {}
         self.forgotten: set[int] = set()
+        self.unusable: set[int] = set()  # numbers of messages that cannot be used
         self.last = self.offset = 0
 
     def run(self) -> None:
@@ -94,6 +97,7 @@
         try:
             while not self.client.over() and self.conn.open:
                 if len(self.open) < MOST_OPEN:
+                    self._blunder()
                     self._send()
                     if rng.random() < LEAVES:
                         break
@@ -104,6 +108,14 @@
             self.note.closed_at = time.monotonic()
         self.conn.close()
 
+    def _blunder(self) -> None:
+        """A call of what is not there: it gets an exception, and what lies behind it is not concerned."""
+        clumsy = self.client.behaviour.clumsy and len(self.unusable) < MOST_CLUMSY
+        if clumsy and self.client.rng.random() < CLUMSY_ODDS:
+            self.last += 1
+            self.unusable.add(self.last)
+            self._write(thrift.frame(thrift.CALL, "nobody", self.last, b""))
+
     def _send(self) -> None:
         request, statement, key = self.client.new_request(self.note)
         self.last += 1
@@ -161,7 +173,7 @@
         message = thrift.read_message(frame)
         request = self.open.pop(message.seqid, None)
         if request is None:
-            if message.seqid not in self.forgotten:
+            if message.seqid not in self.forgotten | self.unusable:
                 self.note.faults.append(f"an answer to {message.seqid}, which is not open")
             self.forgotten.discard(message.seqid)
             return
--- a/standins/soak/day.py
+++ b/standins/soak/day.py
@@ -25,6 +25,7 @@
 from .strangers import IS_WELL, Stranger
 
 READY_WITHIN = 30.0  # seconds
+CLUMSY_EVERY = 3  # of the honest clients, one sends messages that cannot be used, where bad clients are about
 LOOK = 0.01  # seconds between two looks at a process
 LATE, BEAT = 0.1, 0.02  # seconds by which the driver's task wakes late that count as a stall, and between two
 DRAIN_FOR = 1.0  # seconds from draining to gone
@@ -218,6 +219,7 @@
                 client.rate,
                 client.there is None and client.back is None,
                 plan.deadlines,
+                Kind.BAD_CLIENTS in plan.kinds and number % CLUMSY_EVERY == 0,
             )
             rng = self._stream(f"client {number}")
             made = SoakClient(
--- /dev/null
+++ b/standins/soak/defects.py
@@ -0,0 +1,146 @@
+"""Defects planted in a copy of the tree, to prove that the judge can fail: each is caught within ten seeds.
+
+python -m standins.soak.defects [NAME...] [--jobs 3]
+"""
+
+from __future__ import annotations
+
+import argparse
+import shutil
+import subprocess
+import sys
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+SEEDS = "1-10"
+COPIED = ("aspenrill", "standins")
+
+
+@dataclass(frozen=True)
+class Change:
+    """A text that stands once in a file, and what takes its place."""
+
+    file: str
+    old: str
+    new: str
+
+
+@dataclass(frozen=True)
+class Defect:
+    """A mistake, the kinds of trouble under which it shows, and the rule that it breaks."""
+
+    name: str
+    rule: str
+    plan: str
+    changes: tuple[Change, ...]
+
+
+THRIFT, NODE = "aspenrill/fronts/thrift.py", "aspenrill/node.py"
+DEFECTS = (
+    Defect(
+        "frame-timer",
+        "lost",
+        "links",
+        (
+            Change(THRIFT, "conn.frame(MOST_FRAME, None)", "conn.frame(MOST_FRAME, time.monotonic() + 2.0)"),
+            Change(THRIFT, "        except Closed as why:\n", "        except (Closed, TimedOut) as why:\n"),
+            Change(THRIFT, "import Closed, Hub\n", "import Closed, Hub, TimedOut\n"),
+        ),
+    ),
+    Defect(
+        "discards-behind-a-bad-message",
+        "lost",
+        "bad-clients",
+        (Change(THRIFT, "        self.bad += 1\n", '        raise Closed("a bad message")\n'),),
+    ),
+    Defect(
+        "exits-before-the-last-answer",
+        "lost",
+        "restarts",
+        (
+            Change(
+                NODE,
+                "        self._drained(kill_at - ANSWERED)\n",
+                "        self.hub.stop()\n        return\n",
+            ),
+        ),
+    ),
+    Defect(
+        "answers-twice",
+        "lost",
+        "links",
+        (
+            Change(
+                "aspenrill/fronts/thrift_answers.py",
+                "        self._parts += parts\n",
+                "        self._parts += parts + parts if number % 20 == 9 else parts\n",
+            ),
+        ),
+    ),
+    Defect(
+        "passes-on-a-longer-deadline",
+        "deadline",
+        "engines",
+        (
+            Change(
+                "aspenrill/fronts/thrift_requests.py",
+                "int(wait) / 1000 - MARGIN - spent",
+                "int(wait) / 1000 + 0.5",
+            ),
+        ),
+    ),
+    Defect(
+        "half-closes-early",
+        "lost",
+        "links",
+        (Change(NODE, "            listener.stop_accepting()\n", "            listener.drain()\n"),),
+    ),
+    Defect(
+        "stays-beyond-the-kill",
+        "exit",
+        "restarts",
+        (Change(NODE, "ANSWERED, ENDED = 0.3, 0.1", "ANSWERED, ENDED = 0.3, -5.0"),),
+    ),
+)
+
+
+def planted(defect: Defect, folder: Path) -> Path:
+    """A copy of the tree with the defect."""
+    tree = folder / defect.name
+    for name in COPIED:
+        shutil.copytree(ROOT / name, tree / name, ignore=shutil.ignore_patterns("__pycache__"))
+    shutil.copytree(ROOT / "deploy", tree / "deploy", ignore=shutil.ignore_patterns("sites"))
+    for change in defect.changes:
+        file = tree / change.file
+        file.write_text(file.read_text().replace(change.old, change.new))
+    return tree
+
+
+def caught(defect: Defect, tree: Path, jobs: int) -> list[str]:
+    """The lines of the seeds that broke its rule there."""
+    command = [sys.executable, "-m", "standins.soak", SEEDS, "--plan", defect.plan, "--jobs", str(jobs)]
+    ended = subprocess.run(command, cwd=tree, capture_output=True, text=True)
+    return [line for line in ended.stdout.splitlines() if f" {defect.rule}:" in line]
+
+
+def main() -> int:
+    """The command; 1 where a defect was not caught."""
+    parser = argparse.ArgumentParser(prog="standins.soak.defects")
+    parser.add_argument("names", nargs="*")
+    parser.add_argument("--jobs", type=int, default=3)
+    words = parser.parse_args()
+    missed = 0
+    for defect in DEFECTS:
+        if words.names and defect.name not in words.names:
+            continue
+        with tempfile.TemporaryDirectory() as folder:
+            lines = caught(defect, planted(defect, Path(folder)), words.jobs)
+        print(f"{defect.name}: {defect.rule} in {len(lines)} of seeds {SEEDS}", flush=True)
+        missed += not lines
+    return int(missed > 0)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
