--- a/review/2/test.py
+++ b/review/2/test.py
@@ -1,24 +1,31 @@
-"""A request sent into a cut network starts there once the network is back, beside its next attempt."""
+"""A request sent into a silent network starts there once the network is back, though it was sent again."""
 
 from __future__ import annotations
 
+import copy
 import sys
 import threading
 import time
 from pathlib import Path
+from typing import Any
 
 from review.lib.clients import Client, Sent
 from review.lib.harness import SETTINGS, TROUBLE, Case, NotRun, run
 
 ENGINES = 5
-CUT = 0  # which link is cut: one of five
-CUT_SECONDS = 6.0
-REPORTS = 20  # sent at once, right after the cut began
-REPORT_MS = 4000
-LOOKUPS = 5  # clients that ask beside them
+LINK = 0  # which link has the disruption: one of five
+REQUESTS = 20  # sent at once, right after its begin
 BURST = 40  # lookups at once before that, so that connections to all engines lie idle
+LOOKUPS = 5  # clients that ask beside the requests
 SLACK = 0.05  # seconds by which each time limit of the rules is longer on sockets
 
+CUT_SECONDS = 6.0
+REPORT_MS = 4000
+
+SILENT_SECONDS = 2.5
+WINDOW = 1.0  # seconds, in which engines know a repeat by its key
+LOAD_MS = 1850
+
 
 def ask(case: Case, number: int, sent: list[Sent], until: float) -> None:
     """One client of lookups: sends the next when it has the answer to the one before."""
@@ -33,28 +40,16 @@
     client.close()
 
 
-def attempts(case: Case) -> dict[str, list[list]]:
-    """By request: engine, begin and end of each attempt, as its engine saw it."""
-    found: dict[str, list[list]] = {}
-    for event in case.engine_events():
-        of_request = found.setdefault(event["id"], [])
-        if event["what"] == "begins":
-            of_request.append([event["engine"], event["at"], None, event["repeat"]])
-        else:
-            for attempt in of_request:
-                if attempt[0] == event["engine"] and attempt[2] is None:
-                    attempt[2] = event["at"]
-    return found
-
-
-def test(case: Case) -> str | None:
-    """No request may have two attempts out at once."""
-    ports = case.engines(ENGINES)
-    case.front_end(case.standin("links", *ports), SETTINGS)
-    links = case.processes[-3]
+def day(
+    case: Case, settings: dict[str, Any], window: float, what: str, seconds: float, cls: str
+) -> list[Sent]:
+    """A short day on a front end of its own, with one disruption. Returns what was sent."""
+    ports = case.engines(ENGINES, "--key-window", window)
+    ports = case.standin("links", *ports)
+    links = case.processes[-1]
+    case.front_end(ports, settings)
     sent: list[Sent] = []
-    began = time.time()
-    until = began + 2.0 + CUT_SECONDS + 6.0
+    until = time.time() + 2.0 + seconds + 6.0
     threads = [threading.Thread(target=ask, args=(case, n, sent, until)) for n in range(LOOKUPS)]
     for thread in threads:
         thread.start()
@@ -66,42 +61,87 @@
             sent.append(burst.send("par-lookup", lookup, 5.0))
     time.sleep(2.0)
 
-    def tell(what: str) -> None:
+    def tell(change: str) -> None:
         if TROUBLE:
-            links.stdin.write(f"{what} {CUT}\n")
+            links.stdin.write(f"{change} {LINK}\n")
             links.stdin.flush()
             links.stdout.readline()
-            case.record(f"{what} of the link to the first engine")
-
-    tell("cut")
-    cut_at = time.time()
-    for number in range(REPORTS):
-        report = f"select sum(bags) from north_{number}.usage -- {REPORT_MS} ms"
-        sent.append(client.send("usage-report", report, 20.0))
-    time.sleep(max(0.0, cut_at + CUT_SECONDS - time.time()))
+            case.record(f"{change}: the link to the first engine")
+
+    tell(what)
+    began = time.time()
+    for number in range(REQUESTS):
+        if cls == "scan-load":
+            scan = f"insert into north_{number}.bags -- {LOAD_MS} ms"
+            sent.append(client.send(cls, scan, 25.0, f"{int(began * 1000):016x}{number:016x}"))
+        else:
+            report = f"select sum(bags) from north_{number}.usage -- {REPORT_MS} ms"
+            sent.append(client.send(cls, report, 20.0))
+    time.sleep(max(0.0, began + seconds - time.time()))
     tell("heal")
     for thread in threads:
         thread.join()
     for request in sent:
         request.done.wait(max(0.0, until + 5.0 - time.time()))
     time.sleep(2.5)  # what nobody asks for is dropped meanwhile
-    case.record_all(sent)
-    twice, far = [], time.time()
+    if not any(request.answer == "served" for request in sent):
+        raise NotRun("no request was served")
+    return sent
+
+
+def attempts(case: Case) -> dict[str, list[dict[str, Any]]]:
+    """By request: its attempts, as their engines saw them."""
+    found: dict[str, list[dict[str, Any]]] = {}
+    for event in case.engine_events():
+        of_request = found.setdefault(event["id"], [])
+        if event["what"] == "comes again":
+            continue
+        if event["what"] == "begins":
+            of_request.append({"engine": event["engine"], "begin": event["at"], "repeat": event["repeat"]})
+        else:
+            for attempt in of_request:
+                if attempt["engine"] == event["engine"] and "end" not in attempt:
+                    attempt["end"], attempt["how"] = event["at"], event["what"]
+    return found
+
+
+def judge(case: Case, keyed: set[str]) -> list[str]:
+    """The breaks of the rule: two attempts out at once, or a keyed one outside its window."""
+    breaks, now = [], time.time()
     for ident, each in attempts(case).items():
-        each.sort(key=lambda attempt: attempt[1])
+        each.sort(key=lambda attempt: attempt["begin"])
         for first, second in zip(each, each[1:], strict=False):
-            overlap = min(first[2] or far, second[2] or far) - second[1]
+            overlap = min(first.get("end", now), second.get("end", now)) - second["begin"]
             if overlap > SLACK:
-                twice.append(ident)
-                case.record(
-                    f"two attempts of {ident} are out at once for {overlap:.2f} s: at {first[0]} from "
-                    f"{first[1] - case.began:.3f} and at {second[0]} from {second[1] - case.began:.3f}"
+                breaks.append(f"two attempts of {ident} are out at once for {overlap:.2f} s")
+            after = second["begin"] - each[0]["begin"]
+            if ident in keyed and after > WINDOW + SLACK:
+                breaks.append(
+                    f"an attempt of {ident} begins {after:.2f} s after the first, window {WINDOW} s"
                 )
-    served = sum(request.answer == "served" for request in sent)
-    case.record(f"{len(sent)} requests, {served} served")
-    if not served:
-        raise NotRun("no request was served")
-    return f"{len(twice)} requests had two attempts out at once" if twice else None
+        if ident in keyed and sum(a.get("how") == "ended" and not a["repeat"] for a in each) > 1:
+            breaks.append(f"the load of {ident} was applied twice: it ran to its end at two engines")
+    return breaks
+
+
+def test(case: Case) -> str | None:
+    """Two short days on two front ends, each with one disruption of its own."""
+    case.record("day 1: one of five engines is cut off")
+    sent = day(case, SETTINGS, 15.0, "cut", CUT_SECONDS, "usage-report")
+    case.record("day 2: the open connections to one of five engines fall silent")
+    settings = copy.deepcopy(SETTINGS)
+    settings["classes"][2]["window_ns"] = int(WINDOW * 1e9)
+    loads = day(case, settings, WINDOW, "silence", SILENT_SECONDS, "scan-load")
+    case.record_all(sent + loads)
+    breaks = judge(case, {request.ident for request in loads if request.cls == "scan-load"})
+    for line in breaks:
+        case.record(line)
+    kinds = ("are out at once", "begins", "applied twice")
+    counts = [sum(kind in line for line in breaks) for kind in kinds]
+    case.record(f"{len(sent)} and {len(loads)} requests")
+    if not breaks:
+        return None
+    return "{} times two attempts at once, {} outside the window, {} loads applied twice".format(*counts)
 
 
 if __name__ == "__main__":
--- a/review/lib/engines.py
+++ b/review/lib/engines.py
@@ -1,6 +1,6 @@
 """Stand-in engines: HTTP/1.1 as the protocol page describes it, several engines in one process.
 
-    python -m review.lib.engines COUNT RECORD [--copy-every N] [--copy-late-ms MS]
+    python -m review.lib.engines COUNT RECORD [--copy-every N] [--copy-late-ms MS] [--key-window S]
 
 Prints the ports as one JSON list, then serves until it is ended. Each event of a query is one JSON line in
 RECORD. A statement tells its own cost in a comment, as in `-- 180 ms`; its rows are derived from the id and
@@ -23,7 +23,6 @@
 NOTE_INTERVAL = 0.5  # seconds between two notes on progress
 FORGOTTEN_AFTER = 2.0  # seconds without a call after which a query is dropped
 KEPT_AFTER_END = 30.0  # seconds for which the answer of an ended query is kept
-KEY_WINDOW = 15.0  # seconds for which a repeat is known by its key
 COST = re.compile(r"-- (\d+) ms")
 
 
@@ -99,7 +98,10 @@
     async def start(self, fields: dict, statement: str) -> tuple[bytes, bool]:
         """Start a statement, unless its key is that of a repeat."""
         ident, key = fields["x-ticket"], fields.get("x-nonce")
-        known = key is not None and time.time() < self.fleet.keys.get(key, 0.0) + KEY_WINDOW
+        if ident in self.queries:  # it runs here already, or has ended here
+            self.record("comes again", self.queries[ident])
+            return await self.news(self.queries[ident])
+        known = key is not None and time.time() < self.fleet.keys.get(key, 0.0) + self.fleet.key_window
         if key is not None and not known:
             self.fleet.keys[key] = time.time()
         query = self.queries[ident] = Query(ident, statement, int(fields["x-max-ms"]), known)
@@ -159,9 +161,10 @@
 class Fleet:
     """What all engines share: the keys that were seen, the record, and the trouble."""
 
-    def __init__(self, record: str, copy_every: int, copy_late: float) -> None:
+    def __init__(self, record: str, copy_every: int, copy_late: float, key_window: float) -> None:
         self.file = open(record, "a", buffering=1)  # noqa: SIM115
         self.copy_every, self.copy_late = copy_every, copy_late
+        self.key_window = key_window  # seconds for which a repeat is known by its key
         self.keys: dict[str, float] = {}
         self.good_ends = 0
         self.tasks: set[asyncio.Task] = set()
@@ -200,8 +203,9 @@
     parser.add_argument("record")
     parser.add_argument("--copy-every", type=int, default=0)
     parser.add_argument("--copy-late-ms", type=float, default=5.0)
+    parser.add_argument("--key-window", type=float, default=15.0)
     options = parser.parse_args()
-    fleet = Fleet(options.record, options.copy_every, options.copy_late_ms / 1000)
+    fleet = Fleet(options.record, options.copy_every, options.copy_late_ms / 1000, options.key_window)
     ports = []
     for number in range(1, options.count + 1):
         server = await asyncio.start_server(Engine(number, fleet).serve, "127.0.0.1", 0, backlog=256)
--- a/review/lib/links.py
+++ b/review/lib/links.py
@@ -1,12 +1,16 @@
-"""Links between a front end and its engines, one for each port, which can be cut and healed.
+"""Links between a front end and its engines, one for each port, which can be cut, silenced and healed.
 
     python -m review.lib.links PORT...
 
-Prints the ports of the links as one JSON list. Then it reads lines from standard input: `cut N` and `heal N`,
-N from 0. A link that is cut behaves as TCP over a network that carries nothing: open connections stay open
-and silent, and new ones never come up. When it is healed, TCP brings what its sender has sent meanwhile and
-has not taken back: the bytes, and the end behind them. Of a connection that its sender has reset meanwhile
-nothing is brought but the reset.
+Prints the ports of the links as one JSON list. Then it reads lines from standard input, with N from 0:
+
+    cut N       nothing is carried: open connections stay open and silent, and new ones never come up
+    silence N   the connections that are open now fall silent; new ones work
+    heal N      everything is carried again
+
+The links behave as TCP over such a network. Once it is healed, TCP brings what its sender has sent meanwhile:
+the bytes, and the end behind them. Of a connection that its sender has reset meanwhile nothing is brought but
+the reset.
 """
 
 from __future__ import annotations
@@ -29,8 +33,9 @@
 
     def __init__(self, port: int) -> None:
         self.target = ("127.0.0.1", port)
-        self.passable = threading.Event()
-        self.passable.set()
+        self.passable = opened()  # for new connections
+        self.gate = opened()  # of the connections that come up from now on
+        self.shut_gates: list[threading.Event] = []
         self.fillers: list[socket.socket] = []
         self.listener = socket.socket()
         self.listener.bind(("127.0.0.1", 0))
@@ -40,6 +45,7 @@
 
     def cut(self) -> None:
         """Carry nothing more. The line of new connections is filled, so that the system takes no other."""
+        self.silence()
         self.passable.clear()
         self.listener.listen(0)
         for _ in range(FILLERS):
@@ -48,6 +54,12 @@
             filler.connect_ex(("127.0.0.1", self.port))
             self.fillers.append(filler)
 
+    def silence(self) -> None:
+        """Carry nothing more on the connections that are open now."""
+        self.gate.clear()
+        self.shut_gates.append(self.gate)
+        self.gate = opened()
+
     def heal(self) -> None:
         """Carry again."""
         for filler in self.fillers:
@@ -56,6 +68,9 @@
         self.fillers.clear()
         self.listener.listen(BACKLOG)
         self.passable.set()
+        for gate in self.shut_gates:
+            gate.set()
+        self.shut_gates.clear()
 
     def accept(self) -> None:
         """Take connections in while the link is not cut."""
@@ -75,7 +90,9 @@
         for sock in (near, far):
             sock.settimeout(None)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        threads = [threading.Thread(target=self.carry, args=ends) for ends in ((near, far), (far, near))]
+        threads = [
+            threading.Thread(target=carry, args=(*ends, self.gate)) for ends in ((near, far), (far, near))
+        ]
         for thread in threads:
             thread.start()
         for thread in threads:
@@ -83,24 +100,32 @@
         near.close()
         far.close()
 
-    def carry(self, source: socket.socket, sink: socket.socket) -> None:
-        """Carry one direction until its end."""
-        try:
-            poller = select.poll()
-            poller.register(source, select.POLLIN)
-            while True:
-                poller.poll()
-                self.passable.wait()
-                if any(events & select.POLLERR for _, events in poller.poll(0)):
-                    raise ConnectionResetError
-                data = source.recv(65536)
-                if not data:
-                    sink.shutdown(socket.SHUT_WR)
-                    return
-                sink.sendall(data)
-        except (OSError, ValueError):  # ValueError: the other direction has closed it
-            reset(sink)
-            reset(source)
+
+def carry(source: socket.socket, sink: socket.socket, gate: threading.Event) -> None:
+    """Carry one direction of a connection until its end, while its gate is open."""
+    try:
+        poller = select.poll()
+        poller.register(source, select.POLLIN)
+        while True:
+            poller.poll()
+            gate.wait()
+            if any(events & select.POLLERR for _, events in poller.poll(0)):
+                raise ConnectionResetError
+            data = source.recv(65536)
+            if not data:
+                sink.shutdown(socket.SHUT_WR)
+                return
+            sink.sendall(data)
+    except (OSError, ValueError):  # ValueError: the other direction has closed it
+        reset(sink)
+        reset(source)
+
+
+def opened() -> threading.Event:
+    """An event that is set."""
+    event = threading.Event()
+    event.set()
+    return event
 
 
 def reset(sock: socket.socket) -> None:
@@ -111,13 +136,13 @@
 
 
 def main() -> None:
-    """Open the links, then cut and heal them as told."""
+    """Open the links, then do as told."""
     links = [Link(int(port)) for port in sys.argv[1:]]
     print(json.dumps([link.port for link in links]), flush=True)
     for line in sys.stdin:
         what, number = line.split()
         link = links[int(number)]
-        (link.cut if what == "cut" else link.heal)()
+        {"cut": link.cut, "silence": link.silence, "heal": link.heal}[what]()
         print(json.dumps("done"), flush=True)
 
 
