Withdraw a request without a response, so that it never begins later

Cause: a connection that is closed in order goes on delivering. A 500 to GET and 2.6 s without a call were taken as the end of the query, and a confirmed DELETE too; none of them says anything of a request that is still on its way.

Change: Engines.withdraw resets the connection of a call without a response, on HTTP and TDS, at each end of an attempt and as the process exits; only what follows the reset, or the request's own response, proves the end. Reading of responses has moved to engines/http_responses.py, error numbers to net/socketerrors.py. Ids of the stand-in client were built from a memory address and came twice; they are counted now. test_the_response_to_another_call_does_not_end_a_cancel scripts a third DELETE, which now has to follow the withdrawal.

Why it works: the kernel drops unacknowledged bytes at a reset, and a proxy that sees it forwards nothing more.

--- a/aspenrill/core/books.py
+++ b/aspenrill/core/books.py
@@ -114,7 +114,9 @@
     cancelled: bool = False
     begin_by: float = math.inf  # limit for its first byte: by a repeat's window or a cold engine's slot
     began_at: float = field(default_factory=time.monotonic)
-    sent_at: float | None = None  # when bytes were last sent to the engine; None: none yet
+    sent_at: float | None = None  # latest time at which the engine may have received a call; None: no call
+    unanswered: Any = None  # connection of the last call while no response to it has been read
+    confirmed: bool = False  # a response has shown that the engine received the request
     received_at: float = 0.0  # when bytes last came from it
     malformed: int = 0  # malformed answers
     state: Any = None  # for use by its protocol
@@ -235,5 +237,8 @@
     def probe(self, peer: Peer) -> None:
         """Probes the engine in a task of its own, which posts the result."""
 
+    def withdraw_all(self) -> None:
+        """Withdraws all calls without a response, as the process exits."""
+
     def retire(self, peer: Peer) -> None:
         """Stops sending work to an engine and closes its idle connections."""
--- a/aspenrill/engines/base.py
+++ b/aspenrill/engines/base.py
@@ -14,6 +14,7 @@
 from .pool import Pools
 
 WRITE_TIMEOUT = 1.0  # seconds for writing a request
+WITHDRAW_DELAY = 0.05  # seconds for the engine to show that it received a request, from the end of an attempt
 MAX_BROKEN_CONNECTIONS = 3  # new connections that may break unused before the engine counts as unreachable
 
 
@@ -40,9 +41,11 @@
     ) -> None:
         self.hub, self.pools, self.post = hub, pools, post
         self.safe = safe  # indexes of the classes whose requests may run twice
+        self.running: set[Attempt] = set()  # attempts whose tasks have not ended
 
     def start(self, attempt: Attempt) -> None:
         """Runs an attempt in a task of its own, which posts one Ended."""
+        self.running.add(attempt)
         attempt.task = self.hub.spawn(self._run, attempt, name="attempt")
 
     def cancel(self, attempt: Attempt) -> None:
@@ -54,6 +57,24 @@
     def set_priority(self, attempt: Attempt, priority: int) -> None:
         """Changes the priority of an attempt in flight, if the protocol supports it."""
 
+    def withdraw(self, attempt: Attempt) -> None:
+        """Resets the connection of an unanswered call: what the engine has not received never arrives."""
+        conn, attempt.unanswered = attempt.unanswered, None
+        if conn is not None and conn.open:
+            self.pools.abort(conn)
+            attempt.sent_at = time.monotonic()  # the call may have been received until now
+            self.hub.events.event(
+                "call_withdrawn",
+                id=attempt.client_request.id,
+                engine=attempt.peer.engine,
+                confirmed=attempt.confirmed,
+            )
+
+    def withdraw_all(self) -> None:
+        """Withdraws all unanswered calls, as the process exits: the kernel would go on delivering them."""
+        for attempt in self.running:
+            self.withdraw(attempt)
+
     def retire(self, peer: Peer) -> None:
         """Stops sending work to an engine."""
         self.pools.retire(peer)
@@ -63,7 +84,7 @@
         raise NotImplementedError
 
     def _stop_at_engine(self, attempt: Attempt) -> None:
-        """Makes the engine stop the attempt; returns once it has."""
+        """Makes the engine stop the attempt; returns once it has, and cannot begin it any more."""
         raise NotImplementedError
 
     def _run(self, attempt: Attempt) -> None:
@@ -79,10 +100,13 @@
         except TimedOut:
             end = AttemptFinished(attempt, Outcome.TIMEOUT)
         finally:
-            if end.outcome is Outcome.OK:
-                self.post(end)
-            else:
-                self._finish_failed(attempt, end)
+            try:
+                if end.outcome is Outcome.OK:
+                    self.post(end)
+                else:
+                    self._finish_failed(attempt, end)
+            finally:
+                self.running.discard(attempt)
 
     def _finish_failed(self, attempt: Attempt, end: AttemptFinished) -> None:
         """Stops a failed attempt and posts its end once the engine no longer works on it.
@@ -137,7 +161,7 @@
             try:
                 conn.write_parts(request(), min(attempt.until, time.monotonic() + WRITE_TIMEOUT))
             except (Closed, TimedOut) as why:
-                self.pools.close(conn)
+                self.pools.abort(conn)
                 if conn.bytes_sent != before:
                     attempt.sent_at = attempt.received_at = time.monotonic()
                     if isinstance(why, Closed):
@@ -150,7 +174,8 @@
             except BaseException:
                 if conn.bytes_sent != before:
                     attempt.sent_at = time.monotonic()
-                self.pools.close(conn)
+                self.pools.abort(conn)
                 raise
             attempt.sent_at = attempt.received_at = time.monotonic()
+            attempt.unanswered = conn
             return conn
--- a/aspenrill/engines/http.py
+++ b/aspenrill/engines/http.py
@@ -13,14 +13,14 @@
 from ..net.connecting import Refused
 from ..net.hub import Closed, Hub, TimedOut
 from ..wire import Malformed, http1
-from .base import AttemptEnded, Engines
+from .base import WITHDRAW_DELAY, AttemptEnded, Engines
 from .headers import header_number, parse_load_report
+from .http_responses import read_response
 from .pool import Pools
 
-WRITE_TIMEOUT = 1.5  # seconds for writing a request, or reading the response to an abandoned one
+WRITE_TIMEOUT = 1.5  # seconds for writing a call, or reading a response that nobody waits for
 RESPONSE_TIMEOUT = 0.8  # seconds without a response, due after 0.25, until it is requested again
 MAX_UNREADABLE = 3  # unreadable responses after which an attempt has failed
-MAX_EXTRA = 8  # 1xx responses before the final one, and trailer lines after the last chunk
 SILENCE_TIMEOUT = 2.2  # seconds without any response after which an attempt is given up
 QUERY_DROPPED_AFTER = 2.6  # seconds; engines: 2 after a response, held for 0.25 after a call read late
 PROBE_TIMEOUT = 1.0  # seconds for a probe, or a change of priority
@@ -33,6 +33,7 @@
 MAX_TRIES = 4  # connections tried for an idempotent call
 MAX_RESULT = 48000  # bytes
 ERROR_STATUSES = (202, 500, 503, 504), (500, 503, 504)  # statuses besides 200: for a query, for a page of it
+QUERY_STATUSES = 200, 202  # statuses by which an engine confirms that it has received the request
 ACK_STATUSES = 204, 500  # statuses for a DELETE or PUT; 500: the query is not known any more
 NOTE_KINDS = {"frac": NoteKind.PROGRESS, "missing": NoteKind.SPILLS, "parked": NoteKind.WAITS}
 
@@ -160,21 +161,25 @@
                 http1.request(method, path, self._host(attempt.peer), {}),
                 min(attempt.until, time.monotonic() + WRITE_TIMEOUT),
             )
-            attempt.sent_at = time.monotonic()
+            attempt.sent_at, attempt.unanswered = time.monotonic(), conn
         except (Closed, TimedOut) as why:
             self._log_lost(attempt, why)
             if isinstance(why, Closed):
                 attempt.peer.lost_at = time.monotonic()
-            self.pools.close(conn)
+            self.pools.abort(conn)
             time_left(attempt.until)
             raise Lost from None
         except BaseException:
-            self.pools.close(conn)
+            self.pools.abort(conn)
             raise
 
     def _receive(self, attempt: Attempt, conn: Connection, page: int = 0) -> tuple[http1.Head, bytes]:
+        """Reads the response to the last call. Withdraws the call and raises Lost if none arrives in time.
+
+        An interrupt, or the end of the attempt's time, leaves the call unanswered.
+        """
         try:
-            head, body = self._read_response(conn, min(attempt.until, time.monotonic() + RESPONSE_TIMEOUT))
+            head, body = read_response(conn, min(attempt.until, time.monotonic() + RESPONSE_TIMEOUT))
             if head.status == 200:
                 http1.check_page(head, body, page)
             elif head.status not in ERROR_STATUSES[page > 0]:  # the response to another kind of call
@@ -182,19 +187,18 @@
         except (Closed, TimedOut, Malformed) as why:
             self._log_lost(attempt, why)
             if isinstance(why, TimedOut):
-                self._abandon_connection(attempt.peer, conn)
-            else:
-                if isinstance(why, Closed):
-                    attempt.peer.lost_at = time.monotonic()
-                self.pools.close(conn)
+                time_left(attempt.until)
+            elif isinstance(why, Closed):
+                attempt.peer.lost_at = time.monotonic()
+            self.withdraw(attempt)
             time_left(attempt.until)
             if isinstance(why, Malformed):
                 self._count_unreadable(attempt, why)
             raise Lost from None
-        except BaseException:
-            self._abandon_connection(attempt.peer, conn)
-            raise
+        attempt.unanswered = None
         attempt.received_at = time.monotonic()
+        if head.status in QUERY_STATUSES:
+            attempt.confirmed = True
         return head, body
 
     def _log_lost(self, attempt: Attempt, why: Exception) -> None:
@@ -205,53 +209,15 @@
             reason=str(why) or type(why).__name__,
         )
 
-    def _abandon_connection(self, peer: Peer, conn: Connection) -> None:
-        """Leaves a connection whose response nobody waits for; it is reused once the response has arrived."""
-        if conn.mid_message:
-            self.pools.close(conn)
-        else:
-            self.hub.spawn(self._read_abandoned, peer, conn, name="drain")
-
     def _read_abandoned(self, peer: Peer, conn: Connection) -> None:
+        """Reads a response that nobody waits for, so that its connection can be used again."""
         try:
-            head = self._read_response(conn, time.monotonic() + WRITE_TIMEOUT)[0]
+            head = read_response(conn, time.monotonic() + WRITE_TIMEOUT)[0]
         except (Closed, TimedOut, Malformed):
             self.pools.close(conn)
             return
         self._return_connection(peer, conn, head)
 
-    def _read_response(self, conn: Connection, until: float) -> tuple[http1.Head, bytes]:
-        conn.mid_message = False
-        for _ in range(MAX_EXTRA):
-            head = http1.parse_response_head(conn.read_head(until))
-            conn.mid_message = True
-            if head.status >= 200:
-                break
-        else:
-            raise Malformed("1xx without end")
-        found = head, self._read_body(conn, head, until)
-        conn.mid_message = False
-        return found
-
-    def _read_body(self, conn: Connection, head: http1.Head, until: float) -> bytes:
-        if head.chunked:
-            parts, size = [], 0
-            while count := http1.parse_chunk_size(conn.read_until(b"\r\n", until)):
-                size += count
-                if size > http1.MAX_BODY_SIZE:
-                    raise Malformed("body too long")
-                parts.append(conn.read(count, until))
-                if conn.read(2, until) != b"\r\n":
-                    raise Malformed("a chunk longer than it says")
-            for _ in range(MAX_EXTRA):
-                if conn.read_until(b"\r\n", until) == b"\r\n":
-                    return b"".join(parts)
-            raise Malformed("trailers without end")
-        length = head.length
-        if length is None:
-            raise Malformed("no length")
-        return conn.read(length, until)
-
     def _return_connection(self, peer: Peer, conn: Connection, head: http1.Head) -> None:
         """Returns a connection to the pool after a complete response."""
         if head.keep_alive:
@@ -317,27 +283,57 @@
         return Result("text", tuple(parts))
 
     def _stop_at_engine(self, attempt: Attempt) -> None:
-        """Sends DELETE until the engine confirms it, its process has ended, or it has dropped the query."""
-        gone_at = attempt.sent_at + QUERY_DROPPED_AFTER
-        while True:
-            try:
-                self._call(
-                    attempt.peer,
-                    "DELETE",
-                    f"/data/{attempt.client_request.id}",
-                    time.monotonic() + DELETE_TIMEOUT,
-                    valid=ACK_STATUSES,
-                )
-                return
-            except Refused as why:
-                if self._process_ended(attempt, why):
-                    return
-            except (Closed, TimedOut, Malformed):
+        """Sends DELETE until it is proven that the query has ended and cannot begin any more."""
+        if attempt.unanswered is not None and attempt.unanswered.mid_message:
+            self.withdraw(attempt)  # the rest of its response could not be told from the next one
+        withdraw_at = time.monotonic() + WITHDRAW_DELAY
+        timer = self.hub.timers.at(withdraw_at, self.withdraw, attempt)
+        try:
+            while not self._delete(attempt, withdraw_at):
                 pass
-            wait = gone_at - time.monotonic()
-            if wait <= 0:
-                return
+        finally:
+            timer.cancel()
+        conn, attempt.unanswered = attempt.unanswered, None
+        if conn is not None:
+            self.hub.spawn(self._read_abandoned, attempt.peer, conn, name="drain")
+
+    def _delete(self, attempt: Attempt, withdraw_at: float) -> bool:
+        """Sends one DELETE; returns whether the query has ended: the engine has confirmed it, its process has
+        ended, or it must have dropped the query.
+
+        A DELETE proves nothing while the request may still be on its way: it may be received before it.
+        """
+        on_its_way = attempt.unanswered is not None and not attempt.confirmed
+        until = time.monotonic() + DELETE_TIMEOUT
+        try:
+            path = f"/data/{attempt.client_request.id}"
+            self._call(attempt.peer, "DELETE", path, until, valid=ACK_STATUSES)
+            if on_its_way:
+                self._await_receipt(attempt, withdraw_at)
+            return not on_its_way
+        except Refused as why:
+            if self._process_ended(attempt, why):
+                return True
+        except (Closed, TimedOut, Malformed):
+            pass
+        wait = attempt.sent_at + QUERY_DROPPED_AFTER - time.monotonic()
+        if wait > 0:
             self.hub.sleep(min(wait, DELETE_INTERVAL))
+        return wait <= 0
+
+    def _await_receipt(self, attempt: Attempt, until: float) -> None:
+        """Waits for the response to the request, which shows that the engine has received it; withdraws the
+        request if none arrives in time."""
+        conn = attempt.unanswered
+        if conn is None:
+            return
+        try:
+            head = read_response(conn, until)[0]
+        except (Closed, TimedOut, Malformed):
+            self.withdraw(attempt)
+            return
+        attempt.unanswered, attempt.confirmed = None, True
+        self._return_connection(attempt.peer, conn, head)
 
     # ---- single calls ---------------------------------------------------------------------------------
 
@@ -354,7 +350,7 @@
                 raise
             try:
                 conn.write(http1.request(method, path, self._host(peer), {}, body), until)
-                head = self._read_response(conn, until)[0]
+                head = read_response(conn, until)[0]
                 if valid and head.status not in valid:  # the response to another call
                     raise Malformed(f"status {head.status}")
             except (Closed, Malformed):
--- a/aspenrill/engines/pool.py
+++ b/aspenrill/engines/pool.py
@@ -272,6 +272,12 @@
             conn.close()
             self._free_slot()
 
+    def abort(self, conn: Connection) -> None:
+        """Closes a connection with a reset, so that nothing more of it is delivered, and frees its slot."""
+        if conn.open:
+            conn.abort()
+            self._free_slot()
+
     def retire(self, peer: Peer) -> None:
         """Closes idle connections of an engine that takes no more work or was replaced."""
         self.reached_at.pop(peer, None)
--- a/aspenrill/engines/tds.py
+++ b/aspenrill/engines/tds.py
@@ -13,7 +13,7 @@
 from ..net.connecting import Refused
 from ..net.hub import Closed, Hub, TimedOut
 from ..wire import Malformed, tds
-from .base import MAX_BROKEN_CONNECTIONS, AttemptEnded, Engines
+from .base import MAX_BROKEN_CONNECTIONS, WITHDRAW_DELAY, AttemptEnded, Engines
 from .pool import Pools
 
 ATTENTION_TIMEOUT = 0.6  # seconds for an Attention to be acknowledged
@@ -101,7 +101,7 @@
         except Malformed:
             self._drop_connection(attempt)
             raise AttemptEnded(Outcome.ERROR) from None
-        attempt.sent_at = attempt.state = None
+        attempt.sent_at = attempt.state = attempt.unanswered = None
         self.pools.release(attempt.peer, conn)
         answer = reader.answer
         if answer.error or answer.status & (tds.DONE_ERROR | tds.DONE_SERVER_ERROR):
@@ -112,16 +112,19 @@
         raise AttemptEnded(Outcome.OK, result=Result("tds", (), answer.tokens, answer.rows))
 
     def _drop_connection(self, attempt: Attempt) -> None:
-        conn, _ = attempt.state
-        attempt.sent_at = attempt.state = None
-        self.pools.close(conn)
+        self.withdraw(attempt)
+        attempt.sent_at = attempt.state = None  # the session and its batch end with the connection
 
     def _stop_at_engine(self, attempt: Attempt) -> None:
-        """Sends an Attention; closes the connection, and so the session, if it is not acknowledged."""
+        """Sends an Attention; resets the connection, and so ends the session, if it is not acknowledged.
+
+        Until a byte of its answer has come, the batch may still be on its way: less time is left for that.
+        """
         if attempt.state is None:
             return
         conn, reader = attempt.state
-        until = time.monotonic() + ATTENTION_TIMEOUT
+        begun = len(conn.incoming) or reader.has_input
+        until = time.monotonic() + (ATTENTION_TIMEOUT if begun else WITHDRAW_DELAY)
         try:
             conn.write(tds.packets(tds.ATTENTION, b""), until)
             while True:
@@ -130,9 +133,10 @@
                 read_tokens(conn, reader, until)
                 if reader.answer.status & tds.DONE_ATTENTION:
                     break
+            attempt.unanswered = None
             self.pools.release(attempt.peer, conn)
         except (Closed, TimedOut, Malformed):
-            self.pools.close(conn)
+            self.withdraw(attempt)
         attempt.sent_at = attempt.state = None
 
     def _probe(self, peer: Peer) -> None:
--- a/aspenrill/net/conn.py
+++ b/aspenrill/net/conn.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import contextlib
-import errno
 import select
 import socket
+import struct
 import time
 from collections.abc import Callable
 from typing import Any
@@ -14,25 +14,16 @@
 from .inbox import Inbox
 from .partialbytes import PartialMessageBytes
 from .ring import Ring
+from .socketerrors import NO_MEMORY_ERRNOS, UNREACHABLE_ERRNOS
 
 DEFAULT_BUFFER_SIZE = 16384  # bytes of the buffer for each direction
 MIN_READ_SIZE = 2048  # bytes; a read size grows while reads fill it and falls back to this after a small one
 MAX_SEND_PARTS = 512  # buffers passed to one sendmsg, below IOV_MAX
 WOULD_BLOCK = (BlockingIOError, InterruptedError)
-NO_MEMORY_ERRNOS = (errno.ENOBUFS, errno.ENOMEM)  # transient; the connection is unaffected
-UNREACHABLE_ERRNOS = (  # the path is down: transient unless the kernel has given up the connection
-    errno.ETIMEDOUT,
-    errno.EHOSTUNREACH,
-    errno.ENETUNREACH,
-    errno.ENETDOWN,
-    errno.EHOSTDOWN,
-    errno.ENONET,
-    errno.EPROTO,
-    errno.ENOPROTOOPT,
-)
 ERROR_RETRY_DELAY = 0.005  # seconds until a call that failed with a transient error is repeated
 MAX_PEEKS = 5  # attempts to peek at the next byte when the call fails
 PEEK_FAILED = b"\0"  # result of a peek that kept failing: treated like an unread byte
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # value of SO_LINGER: on, 0 seconds
 HANGUP_EVENTS = getattr(select, "POLLRDHUP", 0)  # also if unread data precedes the end; 0: not available
 
 
@@ -92,6 +83,13 @@
             self.incoming.clear()
             self.outgoing.clear()
 
+    def abort(self) -> None:
+        """Closes the socket with a reset: the kernel delivers no more of what was written."""
+        if self.open:
+            with contextlib.suppress(OSError):  # a plain close is then all that is left
+                self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            self.close()
+
     def begin_close(self, reason: str = "") -> None:
         """Begins the orderly close by shutting down the write side.
 
--- a/aspenrill/net/connecting.py
+++ b/aspenrill/net/connecting.py
@@ -6,8 +6,9 @@
 import socket
 
 from .address import family_of
-from .conn import DEFAULT_BUFFER_SIZE, NO_MEMORY_ERRNOS, Connection, time_left
+from .conn import DEFAULT_BUFFER_SIZE, Connection, time_left
 from .hub import WRITE, Closed, Hub, TimedOut
+from .socketerrors import NO_MEMORY_ERRNOS
 
 EXHAUSTION_ERRNOS = (errno.EADDRNOTAVAIL, errno.EAGAIN, *NO_MEMORY_ERRNOS)  # no local port or memory
 NO_DESCRIPTOR_ERRNOS = (errno.EMFILE, errno.ENFILE, *NO_MEMORY_ERRNOS)  # of socket()
--- a/aspenrill/node.py
+++ b/aspenrill/node.py
@@ -248,6 +248,7 @@
         self._wait_for_clients(sigkill_at - EXIT_MARGIN)
         for _, listener in self.fronts:
             listener.close_all("the program ends")
+        self.owner.engines.withdraw_all()
         self.announce_leave()
         self.hub.log(f"left with {len(self.owner.open)} requests open")
         self.hub.stop()
--- a/aspenrill/wire/tds.py
+++ b/aspenrill/wire/tds.py
@@ -254,12 +254,14 @@
         self.answer = Answer()
         self.result_tokens: list[bytes] = []
         self.size = 0
+        self.has_input = False  # something of the response has arrived
         self.infos: list[tuple[int, str]] = []
 
     def feed(self, data: bytes) -> None:
         """Processes more of the response. Raises Malformed if it is invalid or larger than allowed."""
         if self.answer.ended:
             raise Malformed("tokens after the end")
+        self.has_input = True
         self.buffer += data
         self.position = 0
         try:
--- a/standins/clients.py
+++ b/standins/clients.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import struct
 import time
 from dataclasses import dataclass, field
@@ -23,12 +24,16 @@
     rows: list = field(default_factory=list)
 
 
+client_numbers = itertools.count(1)  # part of the ids of requests, which are never used again
+
+
 class ThriftClient:
     """A Thrift client on one connection, with requests of one class."""
 
     def __init__(self, world: World, cls: str, timeout: float) -> None:
         self.cls, self.timeout, self.seqid = cls, timeout, 0
         self.conn = connect(world.hub, world.address, time.monotonic() + 2)
+        self.number = next(client_numbers)
         self.held: dict[int, Reply] = {}
 
     def send(self, statement: str, **changed: str | None) -> None:
@@ -36,7 +41,7 @@
         self.seqid += 1
         fields = {
             "kind": self.cls,
-            "req": f"{id(self) & 0xFFFFFF:08x}{self.seqid:08x}",
+            "req": f"{self.number:08x}{self.seqid:08x}",
             "owner": "main",
             "timeout": str(int(self.timeout * 1000)),
             "opkey": "ab" * 16,
--- a/standins/slowlink.py
+++ b/standins/slowlink.py
@@ -4,7 +4,8 @@
     connect(hub, link.address, until)
 
 A shaper decides for one direction of one connection how the buffered bytes are forwarded. Bytes are lost only
-by a reset and never reordered, as with TCP over a slow network.
+by a reset and never reordered, as with TCP over a slow network: a sender that resets its connection takes
+back what has not been forwarded yet.
 """
 
 from __future__ import annotations
@@ -185,6 +186,8 @@
                 self.changed.set()
         except Closed as why:
             self.source_reset = "reset" in str(why).lower()
+            if self.source_reset:
+                self.buffer.clear()
         if not self.to_target:
             self.trace.target_ended_at = time.monotonic()
         self.source_ended = True
--- a/standins/soak/checker.py
+++ b/standins/soak/checker.py
@@ -171,7 +171,7 @@
                 allowed_until = (
                     before.ended_at if before.ended_at is not None else before.last_polled_at + POLL_TIMEOUT
                 )
-                if not delayed and after.began_at < allowed_until - TIMING_SLACK:
+                if after.began_at < allowed_until - TIMING_SLACK:
                     yield self._request_violation(
                         "duplicate",
                         request,
@@ -179,8 +179,8 @@
                     )
 
     def _attempts_after_cancel(self) -> Iterator[Violation]:
-        if self.plan.engine_link is not None:
-            return
+        """Attempts are recorded as they arrive: a stopped front end cannot withdraw one from a slow link."""
+        delayed = self.plan.engine_link is not None
         for request_id, attempts in self.attempts.items():
             request = self.requests.get(request_id)
             trace = request.connection.trace if request else None
@@ -194,6 +194,7 @@
                 gone_at is None
                 or last <= gone_at + GONE_GRACE + TIMING_SLACK
                 or self.records.driver_stalled(gone_at, last)
+                or (delayed and self._front_stopped(request, last))
             ):
                 continue
             yield self._request_violation(
--- a/standins/soak/defects.py
+++ b/standins/soak/defects.py
@@ -104,6 +104,18 @@
         "links",
         (Replacement(NODE, "            listener.stop_accepting()\n", "            listener.drain()\n"),),
     ),
+    Defect(
+        "delivers-withdrawn-requests",
+        "lost",
+        "engine-links",
+        (
+            Replacement(
+                "aspenrill/net/conn.py",
+                "self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)",
+                "pass",
+            ),
+        ),
+    ),
     Defect(
         "stays-beyond-the-kill",
         "exit",
--- a/standins/soak/engines.py
+++ b/standins/soak/engines.py
@@ -12,6 +12,7 @@
 from .records import EngineAttempt
 
 FAULT_OUTCOMES = ("error", "full", "reset", "hang", "garbage")
+DROPPED_AFTER = 2.25  # seconds since the last poll after which a query is dropped: 2, and 0.25 to answer it
 HANG_DURATION = 30.0  # seconds without an answer
 LONG_WORK = (0.3, 2.0)  # seconds, from and to
 SHORT_WORK = (0.002, 0.06)  # seconds, from and to
@@ -75,8 +76,11 @@
         query = self.queries.get(attempt_id)
         if query is None:
             return super().answer_poll(conn, attempt_id)
-        attempt = self._latest_attempts[attempt_id]
-        attempt.last_polled_at = time.monotonic()
+        attempt, now = self._latest_attempts[attempt_id], time.monotonic()
+        if now > attempt.last_polled_at + DROPPED_AFTER:
+            super().deleted(attempt_id)
+            return self.respond(conn, 500)
+        attempt.last_polled_at = now
         if query[2].end == "hang":
             self.hub.sleep(HANG_DURATION)
             raise Closed("hangs")
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -236,7 +236,7 @@
 
 def test_the_response_to_another_call_does_not_end_a_cancel():
     script = ScriptedEngine([lambda conn: None] * 9)
-    said = [OK, GONE]
+    said = [OK, GONE, GONE]  # the last one comes behind the withdrawal of the request, which has no response
     script.delete = lambda conn: conn.write(said.pop(0), time.monotonic() + LONG)
 
     def scene() -> None:
