Read statements in time in line with their length, also with unclosed brackets

Cause: wire/sql.py, IDENTIFIER: at each opening bracket its end was looked for through all of the rest, in strip_block_comments and again in _table_group; the time grew with the square of the length, in the event loop.

Change: a quoted name without its end takes the rest of the statement, as strings and comments did already. The soak's bad clients send such statements; the old pattern is planted as a defect. Why it works: each alternative consumes all that it has looked at, so no position is looked at again.

--- a/aspenrill/wire/sql.py
+++ b/aspenrill/wire/sql.py
@@ -1,10 +1,14 @@
-"""Finds the table group that a SQL statement reads or writes."""
+"""Finds the table group that a SQL statement reads or writes.
+
+The time is linear in the length of the statement: a quoted text without its end takes the rest of the
+statement, as a comment without its end does, so that nothing is searched again for an end that never comes.
+"""
 
 from __future__ import annotations
 
 import re
 
-IDENTIFIER = r"""(?:"[^"]*"|\[[^\]]*\]|`[^`]*`|[^\W\d][\w$\#@]*)"""
+IDENTIFIER = r"""(?:"[^"]*(?:"|\Z)|\[[^\]]*(?:\]|\Z)|`[^`]*(?:`|\Z)|[^\W\d][\w$\#@]*)"""
 LITERAL = r"""--[^\n]*|'[^']*'?|\$(?P<tag>\w*)\$.*?(?:\$(?P=tag)\$|\Z)"""
 TOKEN = re.compile(rf"{LITERAL}|\d[\w.]*|(?P<name>{IDENTIFIER}(?:\s*\.\s*{IDENTIFIER})*)", re.S)
 COMMENT_OR_LITERAL = re.compile(rf"{LITERAL}|{IDENTIFIER}|/\*", re.S)
--- a/standins/soak/badclients.py
+++ b/standins/soak/badclients.py
@@ -17,6 +17,8 @@
 CALLS_WITHOUT_ARGUMENTS = thrift.frame(thrift.CALL, "isWell", 7, b"") * 40
 HTTP_REQUEST = b"\xc2\0\0\6GET / HTTP/1.1\r\n\r\n"
 EMPTY_FRAMES = b"\0\0\0\0" * 50
+HARD_STATEMENTS = (b"[" * 60_000, b"a.[" * 20_000, b'"a' * 30_000, b"/* " * 20_000, b"$a" * 30_000)
+HARD_CALL_FIELDS = {"kind": "lookup", "req": "ba" * 8, "timeout": "50", "owner": "main"}  # never sent on
 OPENINGS = (b"", IS_WELL_CALL[:20], IS_WELL_CALL)  # nothing, half a message, one call
 
 
@@ -66,6 +68,18 @@
 
     def _bad_message(self) -> bytes:
         noise = struct.pack(">I", self.rng.getrandbits(32)) + self.rng.randbytes(200)
-        return self.rng.choice(
-            (UNKNOWN_CALLS, CALLS_WITHOUT_ARGUMENTS, HTTP_REQUEST, EMPTY_FRAMES, noise, IS_WELL_CALL[:30])
+        others = (
+            UNKNOWN_CALLS,
+            CALLS_WITHOUT_ARGUMENTS,
+            HTTP_REQUEST,
+            EMPTY_FRAMES,
+            noise,
+            IS_WELL_CALL[:30],
         )
+        return self.rng.choice((*others, self._hard_call()))
+
+    def _hard_call(self) -> bytes:
+        """A call whose statement is hard to read. Its time-out is too short to send it to an engine."""
+        fields = thrift.field(thrift.MAP, 1, thrift.text_map(HARD_CALL_FIELDS))
+        statement = thrift.binary(self.rng.choice(HARD_STATEMENTS))
+        return thrift.frame(thrift.CALL, "serve", 1, fields + thrift.field(thrift.STRING, 2, statement))
--- a/standins/soak/defects.py
+++ b/standins/soak/defects.py
@@ -116,6 +116,12 @@
             ),
         ),
     ),
+    Defect(
+        "looks-for-the-same-end-again",
+        "lost",
+        "bad-clients",
+        (Replacement("aspenrill/wire/sql.py", r"|\[[^\]]*(?:\]|\Z)|", r"|\[[^\]]*\]|"),),
+    ),
     Defect(
         "stays-beyond-the-kill",
         "exit",
