Thrift clients: turns by bytes, one scan of a read for `forget`, lag checked for each call

Cause, fronts/thrift.py: a turn was eight messages whatever their size; the buffer was scanned for `forget` again after each turn, so the work grew with the square of what lies in it; a call in an unusual encoding (one more field) did not meet the check of the event loop's lag.

Change: a turn ends after 16 KB too; what a read brought is scanned once; both encodings go through Session._serve.

--- a/aspenrill/fronts/thrift.py
+++ b/aspenrill/fronts/thrift.py
@@ -18,7 +18,7 @@
 from ..net.partialbytes import PartialMessageBytes
 from ..wire import Malformed, thrift
 from .thrift_answers import AnswerWriter, UnreadBytes
-from .thrift_requests import RequestReader
+from .thrift_requests import RequestReader, string_map
 
 MAX_FRAME = 64 * 1024  # bytes
 MAX_PARTIAL_BYTES = 1024 * 1024  # bytes of incomplete messages, over all connections
@@ -29,8 +29,8 @@
 MAX_BAD = 16  # unusable messages after which a connection is closed
 MAX_MALFORMED = 16  # messages that cannot even be answered after which the connection is closed
 MESSAGES_PER_TURN = 8  # messages of one client handled before other tasks run
+BYTES_PER_TURN = 16 * 1024  # bytes of such messages, likewise
 MAX_UNCHECKED_LAG = 0.02  # seconds of event loop lag up to which the 4 turns of 32 messages stay below 0.1
-FORGET_PREFIX = b"\x80\1\0\4\0\0\0\x06forget"  # the beginning of a `forget` message
 
 
 class ClientClosed(Closed):
@@ -74,7 +74,9 @@
         self.bad_count = self.malformed_count = 0  # messages that are unusable, that cannot be answered
         self.refusing = False  # disconnecting: further calls are refused at once
         self.last_seqid = 0  # sequence number of the last call; they start at 1 and count up
+        self.unchecked = False  # whether the client has gone is to be checked before the next message
         self.unscanned = False  # input was read that has not been scanned for `forget`
+        self.handled = self.handled_bytes = 0  # messages, and their bytes, since other tasks ran
         self.forgotten: set[int] = set()  # calls cancelled by a `forget` that was found before their turn
         conn.partial_bytes = service.partial_bytes
 
@@ -101,19 +103,25 @@
     # ---- reading --------------------------------------------------------------------------------------
 
     def _read_messages(self) -> None:
-        conn, hub, handled = self.conn, self.service.hub, 0
+        conn = self.conn
         while True:
             if self.writer.queued > MAX_QUEUED:
                 self._wait_for_client()
-            handled = handled + 1 if len(conn.incoming) else 0
-            if handled >= MESSAGES_PER_TURN:
-                handled, self.unscanned = 0, True
-                hub.yield_now()  # constant input from one client must not starve the others
-            if self.unscanned and len(conn.incoming):
-                self._scan_buffered()
+            self._give_way()
+            if len(conn.incoming):
+                self._look_ahead()
             self._read_message()
             conn.received_message = True
 
+    def _give_way(self) -> None:
+        """Lets other tasks run at times: constant input from one client must not starve the others."""
+        if self.handled >= MESSAGES_PER_TURN or self.handled_bytes >= BYTES_PER_TURN:
+            self.handled = self.handled_bytes = 0
+            self.unchecked = True
+            self.service.hub.yield_now()
+        elif self.conn.wait_before_read and not len(self.conn.incoming):
+            self.handled = self.handled_bytes = 0  # the next read waits, and they run
+
     def _wait_for_client(self) -> None:
         """Pauses reading while more answers are unsent than the protocol allows open requests."""
         while self.writer.queued > MAX_QUEUED:
@@ -127,27 +135,30 @@
         if self.conn.hung_up():
             raise ClientClosed("the client has gone")
 
-    def _scan_buffered(self) -> None:
+    def _look_ahead(self) -> None:
         """Checks, before buffered messages are handled, whether their client still wants an answer.
 
         Its close or a `forget` may be queued behind many other messages, and nothing may be started more than
         0.1 s after it. The kernel is asked if it may hold more input, or if handling 32 messages may take
         that long.
         """
-        self.unscanned, conn = False, self.conn
-        if not conn.wait_before_read or self.service.hub.lag() > MAX_UNCHECKED_LAG:
-            self._check_client()
-        inbox = conn.incoming
-        if inbox.find(FORGET_PREFIX) < 0:
-            return
-        data, at = inbox.peek(len(inbox)), 0
-        while at + 4 <= len(data):
-            start, at = at + 4, at + 4 + int.from_bytes(data[at : at + 4], "big")
-            if start < at <= len(data) and data.startswith(FORGET_PREFIX, start):
-                try:
-                    self._forget((thrift.read_message(data[start:at]).args or {}).get(1), ahead=True)
-                except Malformed:
-                    return  # handled when its turn comes
+        if self.unchecked or self.unscanned:
+            self.unchecked = False
+            if not self.conn.wait_before_read or self.service.hub.lag() > MAX_UNCHECKED_LAG:
+                self._check_client()
+        if self.unscanned:
+            self.unscanned = False
+            self._scan_buffered()
+
+    def _scan_buffered(self) -> None:
+        """Obeys each `forget` in the buffer before the messages in front of it are handled.
+
+        Called once for each read: what it has scanned is not scanned again.
+        """
+        inbox = self.conn.incoming
+        if inbox.find(thrift.FORGET_HEAD) >= 0:
+            for number in thrift.forgotten_calls(inbox.peek(len(inbox))):
+                self._forget(number, ahead=True)
 
     def _read_message(self) -> None:
         conn = self.conn
@@ -161,6 +172,8 @@
         conn.mid_message = False
         if not start:
             self.unscanned = True  # it arrived in pieces, and more was read with the last one
+        self.handled += 1
+        self.handled_bytes += end - start
         conn.last_used_at = arrived = time.monotonic()
         try:
             self._handle_message(data, start, end, arrived)
@@ -177,12 +190,7 @@
         fast = thrift.read_serve(data, start, end)
         if fast is not None and fast[0] == self.last_seqid + 1 and len(self.open_requests) < MAX_OPEN:
             self.last_seqid = fast[0]
-            if self._sheds(fast[1]):
-                self.writer.send(
-                    fast[0], thrift.declared_exception("serve", fast[0], 1, self.service.shed_hint)
-                )
-                return
-            self._start_request(fast[0], fast[1], fast[2], arrived)
+            self._serve(fast[0], fast[1], fast[2], arrived)
             return
         try:
             message = thrift.read_message(data[start:end])
@@ -234,11 +242,19 @@
             self.last_seqid = max(self.last_seqid, message.seqid)
             self._answer_exception(message, thrift.INTERNAL_ERROR, "internal error")
 
-    def _sheds(self, fields: dict[bytes, bytes]) -> bool:
+    def _serve(self, seqid: int, fields: dict[bytes, bytes] | None, statement: Any, arrived: float) -> None:
+        """Starts a request, or refuses it at once if the program is too far behind for its class."""
+        if self._sheds(fields):
+            hint = self.service.shed_hint
+            self.writer.send(seqid, thrift.declared_exception("serve", seqid, 1, hint))
+        else:
+            self._start_request(seqid, fields, statement, arrived)
+
+    def _sheds(self, fields: dict[bytes, bytes] | None) -> bool:
         """Whether the policy would refuse the class at this event loop lag; cheaper than asking it."""
         service = self.service
         lag = service.hub.lag()
-        if lag <= service.min_shed_after:
+        if lag <= service.min_shed_after or fields is None:
             return False
         cls = service.reader.class_of.get(fields.get(b"kind", b""))
         return cls is not None and lag > service.shed_after[cls]
@@ -272,7 +288,7 @@
             self._count_bad()
             self.writer.send(seqid, thrift.declared_exception(name, seqid, 1, TOO_MANY_OPEN))
         else:
-            self._start_request(seqid, _string_map(args.get(1)), args.get(2), arrived)
+            self._serve(seqid, string_map(args.get(1)), args.get(2), arrived)
 
     def _answer_exception(self, message: thrift.Message, kind: int, text: str) -> None:
         """Answers a message with an application exception."""
@@ -375,12 +391,3 @@
             self.conn.unanswered.append(call.id)
             self.service.post(ClientLeft(call))
         self.open_requests.clear()
-
-
-def _string_map(fields: Any) -> dict[bytes, bytes] | None:
-    """Returns the string entries of a map, None if the value is not a map."""
-    if not isinstance(fields, dict):
-        return None
-    return {
-        key: value for key, value in fields.items() if isinstance(key, bytes) and isinstance(value, bytes)
-    }
--- a/aspenrill/fronts/thrift_requests.py
+++ b/aspenrill/fronts/thrift_requests.py
@@ -71,3 +71,12 @@
             reply,
             tag=tag,
         )
+
+
+def string_map(fields: Any) -> dict[bytes, bytes] | None:
+    """Returns the string entries of a map, None if the value is not a map."""
+    if not isinstance(fields, dict):
+        return None
+    return {
+        key: value for key, value in fields.items() if isinstance(key, bytes) and isinstance(value, bytes)
+    }
--- a/aspenrill/wire/thrift.py
+++ b/aspenrill/wire/thrift.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import struct
+from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Any
 
@@ -138,6 +139,22 @@
     return Message(head & 0xFF, name, seqid, args)
 
 
+FORGET_HEAD = b"\x80\x01\x00\x04\x00\x00\x00\x06forget"  # the beginning of a `forget` message
+
+
+def forgotten_calls(data: bytes) -> Iterator[Any]:
+    """Yields the argument of each complete `forget` in a series of frames, up to one that cannot be read."""
+    at = 0
+    while at + 4 <= len(data):
+        start = at + 4
+        at += frame_size(data, at)
+        if start < at <= len(data) and data.startswith(FORGET_HEAD, start):
+            try:
+                yield (read_message(data[start:at]).args or {}).get(1)
+            except Malformed:
+                return
+
+
 def frame_size(data: bytes, at: int) -> int:
     """Returns the size of the frame that starts at `at`, including its length field."""
     return 4 + int.from_bytes(data[at : at + 4], "big")
