TDS clients: packets that belong to no batch take turns with the other tasks

Callers would see: one TDS client that sends packets with the status 'ignore' at full speed keeps all others waiting as long as it sends.

Cause: fronts/tds.py reads packet by packet and waits only where the socket is empty or a batch is open.

Change: after 32 packets other tasks run; packets without content are not kept.

Measured: tests/test_turns.py::test_ignored_packets_of_one_tds_client_take_turns, 4,000 packets in a row with the program before, 32 now.

--- a/aspenrill/fronts/tds.py
+++ b/aspenrill/fronts/tds.py
@@ -24,6 +24,7 @@
 MAX_LOGIN = 16 * 1024  # bytes of a message before the login is complete
 MAX_STATEMENT = 256 * 1024  # characters
 MAX_MESSAGE = 2 * MAX_STATEMENT + 1024  # bytes
+PACKETS_PER_TURN = 32  # packets of one client read before other tasks run
 MAX_PARTIAL_BYTES = 8 * MAX_MESSAGE  # bytes of incomplete messages, over all connections
 # Error numbers sent to clients.
 ERROR_REFUSED = 50001
@@ -101,6 +102,7 @@
         self.attention = False  # the answer being written has been cancelled
         self.closing = False  # no further requests are accepted
         self.write_done = Signal(service.hub)
+        self.packets_read = 0  # since other tasks ran
         conn.partial_bytes = service.partial_bytes
 
     def run(self) -> None:
@@ -154,6 +156,7 @@
         """Reads a whole message. Raises Closed, or Malformed if it violates the protocol."""
         parts, size, last, kind = [], 0, False, None
         while not last:
+            self._give_way()
             head = tds.parse_packet_header(self.conn.read(tds.PACKET_HEADER.size, None))
             self.conn.mid_message = True
             if kind not in (None, head[0]):
@@ -162,13 +165,23 @@
             size += head[2]
             if size > max_size:
                 raise Malformed(f"message of over {max_size} bytes")
-            parts.append(self.conn.read(head[2], None))
+            if head[2]:
+                parts.append(self.conn.read(head[2], None))
             last = bool(head[1] & tds.END_OF_MESSAGE)
             if last and head[1] & tds.IGNORE:
                 kind, parts = 0, []
         self.conn.mid_message = False
         return kind, b"".join(parts)
 
+    def _give_way(self) -> None:
+        """Lets other tasks run at times: constant input from one client must not starve the others."""
+        self.packets_read += 1
+        if self.conn.wait_before_read and not len(self.conn.incoming):
+            self.packets_read = 0  # the next read waits, and they run
+        elif self.packets_read >= PACKETS_PER_TURN:
+            self.packets_read = 0
+            self.service.hub.yield_now()
+
     def _log_in(self) -> None:
         kind, body = self._read_message(MAX_LOGIN)
         if kind == tds.PRELOGIN:
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -7,16 +7,20 @@
 
 import pytest
 
+from aspenrill.fronts import tds as tds_front
 from aspenrill.fronts import thrift as thrift_front
 from aspenrill.fronts.thrift_requests import RequestReader
 from aspenrill.net.hub import Hub
 from aspenrill.net.inbox import Inbox
-from aspenrill.wire import thrift
+from aspenrill.wire import tds, thrift
 from standins.world import World
 
 FIELDS = {"kind": "lookup", "req": "ab" * 8, "timeout": "5000", "owner": "main"}
 LATER_FIELD = thrift.field(thrift.I32, 3, b"\0\0\0\1")  # a reader passes over it, but the encoding is unusual
 LARGE = 60_000  # bytes of a statement
+IGNORED = tds.PACKET_HEADER.pack(
+    tds.SQL_BATCH, tds.END_OF_MESSAGE | tds.IGNORE, tds.PACKET_HEADER.size, 0, 1, 0
+)
 
 
 def serve_call(seqid: int, statement: bytes, more: bytes = b"", **changed: str) -> bytes:
@@ -111,3 +115,23 @@
 
     world.run(scene)
     assert not read
+
+
+def test_ignored_packets_of_one_tds_client_take_turns(monkeypatch):
+    # without a batch to wait for, they were read as long as they came: nothing else ran
+    world, record = World("tds"), record_turns(monkeypatch)
+    parse = tds_front.tds.parse_packet_header
+
+    def count_packet(data: bytes):
+        record.append(1)
+        return parse(data)
+
+    def scene() -> None:
+        client = world.client()
+        assert client.request("select").kind == "served"
+        monkeypatch.setattr(tds_front.tds, "parse_packet_header", count_packet)
+        client.conn.write(IGNORED * 4000, time.monotonic() + 10)
+        assert client.request("select").kind == "served"
+
+    world.run(scene)
+    assert sum(record) >= 4000 and largest_turn(record) <= tds_front.PACKETS_PER_TURN
