--- a/standins/world.py
+++ b/standins/world.py
@@ -256,7 +256,7 @@
     ) -> None:
         self.protocol, self.logged = protocol, []
         self.hub = hub or Hub(self.logged.append)
-        self.hub.lag = lambda: 0.0  # so that a stall of the machine does not make the program refuse requests
+        self.hub.lag = lambda: 0.0  # the work of engines and clients in this process is not the program's lag
         self.engines = [
             (HttpEngine if protocol == "thrift" else TdsEngine)(self.hub, f"s-{i:08x}", host)
             for i in range(engines)
--- a/tests/test_fleet_parts.py
+++ b/tests/test_fleet_parts.py
@@ -230,7 +230,7 @@
                 return len(engine.began) > before
 
             def served(statement: str, client: TdsClient) -> bool:
-                kind = client.request(statement).kind  # refused if the machine paused: sent again
+                kind = client.request(statement).kind  # refused while the sidecar has no core: sent again
                 assert kind in ("served", "refused")
                 return kind == "served"
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,6 +12,7 @@
     "links": ("102-104", "links"),
     "links-stops-restarts": ("105-107", "links,stops,restarts"),
     "crowd-bad-clients": ("108-110", "links,crowd,bad-clients"),
+    "engine-links": ("114-116", "engine-links,engines"),
     "calls-engines-lists": ("111-113", "calls,engines,lists,discovery,clocks"),
 }
 
