Review case 7: a refused configuration is applied in part at SIGHUP

Cause: the sidecar takes logins and sources before the fleet's part of the file is read; where that can't be used, the log says that the old configuration stays, and nothing is undone.

Change: the case, with a TDS client and engine of its own.

--- /dev/null
+++ b/review/lib2/tds.py
@@ -0,0 +1,115 @@
+"""A client and an engine that speak TDS, as MS-TDS 7.4 says: logins, batches, results of text columns."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import struct
+import threading
+
+from .record import Record
+
+BATCH, REPLY, ATTENTION, LOGIN7, PRELOGIN = 1, 4, 6, 16, 18
+HEAD = struct.Struct(">BBHHBB")
+VERSION = 0x74000004
+PRELOGIN_BODY = struct.pack(">BHHBHHB", 0, 11, 6, 1, 17, 1, 0xFF) + struct.pack(">BBHH", 16, 0, 0, 0) + b"\2"
+
+
+def _exactly(sock: socket.socket, count: int) -> bytes:
+    data = b""
+    while len(data) < count:
+        part = sock.recv(count - len(data))
+        if not part:
+            raise ConnectionError("closed")
+        data += part
+    return data
+
+
+def _read(sock: socket.socket) -> tuple[int, bytes]:
+    body, last, kind = b"", False, 0
+    while not last:
+        kind, status, size, *_ = HEAD.unpack(_exactly(sock, 8))
+        body += _exactly(sock, size - 8)
+        last = bool(status & 1)
+    return kind, body
+
+
+def _write(sock: socket.socket, kind: int, body: bytes) -> None:
+    sock.sendall(HEAD.pack(kind, 1, 8 + len(body), 0, 1, 0) + body)
+
+
+def _done(status: int = 0, rows: int = 0) -> bytes:
+    return struct.pack("<BHHQ", 0xFD, status | (0x10 if rows else 0), 0xC1 if rows else 0, rows)
+
+
+class TdsEngine:
+    """An engine: each batch is answered with one row, the name of the engine and the statement."""
+
+    def __init__(self, name: str, record: Record) -> None:
+        self.name, self.record = name, record
+        self.statements: list[str] = []
+        self.listener = socket.create_server(("127.0.0.1", 0), backlog=64)
+        self.port: int = self.listener.getsockname()[1]
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        while True:
+            sock, _ = self.listener.accept()
+            threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+
+    def _serve(self, sock: socket.socket) -> None:
+        with contextlib.suppress(OSError), sock:
+            while True:
+                kind, body = _read(sock)
+                if kind == PRELOGIN:
+                    _write(sock, REPLY, PRELOGIN_BODY)
+                elif kind == LOGIN7:
+                    name = self.name.encode("utf-16-le")
+                    ack = b"\1" + struct.pack(">I", VERSION) + bytes([len(self.name)]) + name + b"\x10\0\0\0"
+                    _write(sock, REPLY, b"\xad" + struct.pack("<H", len(ack)) + ack + _done())
+                elif kind == ATTENTION:
+                    _write(sock, REPLY, _done(0x20))
+                else:
+                    statement = body[struct.unpack_from("<I", body)[0] :].decode("utf-16-le")
+                    self.statements.append(statement)
+                    self.record(f"{self.name}: ran {statement!r}")
+                    _write(sock, REPLY, self._result(statement))
+
+    def _result(self, statement: str) -> bytes:
+        columns = struct.pack("<BH", 0x81, 2)
+        for name in ("engine", "statement"):
+            columns += struct.pack("<IHBH", 0, 1, 0xE7, 8000) + bytes.fromhex("0904d00034")
+            columns += bytes([len(name)]) + name.encode("utf-16-le")
+        row = b"\xd1"
+        for value in (self.name, statement):
+            data = value.encode("utf-16-le")
+            row += struct.pack("<H", len(data)) + data
+        return columns + row + _done(rows=1)
+
+
+class TdsClient:
+    """A client with one login."""
+
+    def __init__(self, address: tuple[str, int], user: str) -> None:
+        self.sock = socket.create_connection(address, 30)
+        _write(self.sock, PRELOGIN, PRELOGIN_BODY)
+        _read(self.sock)
+        texts = [b"", user.encode("utf-16-le"), b"", "clerk".encode("utf-16-le"), b"", b"", b"", b"", b""]
+        table, data = b"", b""
+        for text in texts:
+            table += struct.pack("<HH", 94 + len(data), len(text) // 2)
+            data += text
+        end = 94 + len(data)
+        table += b"\0" * 6 + struct.pack("<HHHHHHI", end, 0, end, 0, end, 0, 0)
+        head = struct.pack("<IIIIIIBBBBII", end, VERSION, 4096, 7, 0, 0, 0xE0, 3, 0, 0, 0, 0)
+        _write(self.sock, LOGIN7, head + table + data)
+        _read(self.sock)
+
+    def request(self, statement: str) -> tuple[bool, str]:
+        """Run a batch. Returns whether it was served, and the text of the answer."""
+        body = struct.pack("<IIHQI", 22, 18, 2, 0, 1) + statement.encode("utf-16-le")
+        _write(self.sock, BATCH, body)
+        _, answer = _read(self.sock)
+        return answer[:1] == b"\x81", answer.decode("utf-16-le", "replace") + answer[1:].decode(
+            "utf-16-le", "replace"
+        )
