Review case 6: an answer is served with rows missing

Cause: an answer whose Content-Length is too short and ends behind a row is taken for whole; that more bytes lie behind it is noticed only as the connection is given back.

--- a/review/lib2/engine.py
+++ b/review/lib2/engine.py
@@ -13,7 +13,6 @@
 
 NEWS_AFTER = 0.25  # seconds until a call about a running query is answered 202
 UNASKED = 2.0  # seconds without a call after which a query is dropped
-KEY_WINDOW = 15.0  # seconds for which a repeat of a key is dropped
 
 
 @dataclass
@@ -32,10 +31,7 @@
 
 
 class Engine:
-    """An engine of the platform. `work` gives the seconds of a statement, `rows` its rows as text.
-
-    `after_answer` is called behind each good answer with the connection and the bytes of the answer.
-    """
+    """An engine of the platform. `work` gives the seconds of a statement, `rows` its rows as text."""
 
     def __init__(
         self,
@@ -43,20 +39,11 @@
         record: Record,
         work: Callable[[str], float],
         rows: Callable[[str], str],
-        after_answer: Callable[[socket.socket, bytes], None] = lambda sock, data: None,
     ) -> None:
-        self.name, self.record, self.work, self.rows, self.after_answer = (
-            name,
-            record,
-            work,
-            rows,
-            after_answer,
-        )
+        self.name, self.record, self.work, self.rows = name, record, work, rows
+        self.spoil: Callable[[bytes], bytes] = lambda data: data  # what a good answer becomes on its way
         self.queries: dict[str, Query] = {}
-        self.keys: dict[str, float] = {}
-        self.begun: list[
-            tuple[float, str]
-        ] = []  # when the first byte of each POST was read, and its statement
+        self.begun: list[tuple[float, str]] = []  # when the first line of each POST was read, its statement
         self.lock = threading.Lock()
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=512)
         self.port: int = self.listener.getsockname()[1]
@@ -79,9 +66,8 @@
                     fields[name.strip().lower()] = value.strip()
                 body = stream.read(int(fields.get("content-length", 0)))
                 data = self._answer(method, path, fields, body, began)
-                sock.sendall(data)
-                if data.startswith(b"HTTP/1.1 200") and path.startswith("/data"):
-                    self.after_answer(sock, data)
+                good = data.startswith(b"HTTP/1.1 200") and path.startswith("/data")
+                sock.sendall(self.spoil(data) if good else data)
 
     def _answer(self, method: str, path: str, fields: dict[str, str], body: bytes, began: float) -> bytes:
         if path in ("/alive", "/stats"):
