--- a/review/lib2/tds.py
+++ b/review/lib2/tds.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import re
 import socket
 import struct
 import threading
@@ -12,6 +13,9 @@
 BATCH, REPLY, ATTENTION, LOGIN7, PRELOGIN = 1, 4, 6, 16, 18
 HEAD = struct.Struct(">BBHHBB")
 VERSION = 0x74000004
+RESET = 0x18  # RESETCONNECTION, RESETCONNECTIONSKIPTRAN
+ROW = b"\xd1"
+ROWCOUNT = re.compile(r"set rowcount (\d+)")
 PRELOGIN_BODY = struct.pack(">BHHBHHB", 0, 11, 6, 1, 17, 1, 0xFF) + struct.pack(">BBHH", 16, 0, 0, 0) + b"\2"
 
 
@@ -25,13 +29,15 @@
     return data
 
 
-def _read(sock: socket.socket) -> tuple[int, bytes]:
-    body, last, kind = b"", False, 0
+def _read(sock: socket.socket) -> tuple[int, int, bytes]:
+    """A message: its type, the status of its first packet, its content."""
+    body, last, kind, first = b"", False, 0, -1
     while not last:
         kind, status, size, *_ = HEAD.unpack(_exactly(sock, 8))
+        first = status if first < 0 else first
         body += _exactly(sock, size - 8)
         last = bool(status & 1)
-    return kind, body
+    return kind, first, body
 
 
 def _write(sock: socket.socket, kind: int, body: bytes) -> None:
@@ -43,10 +49,14 @@
 
 
 class TdsEngine:
-    """An engine: each batch is answered with one row, the name of the engine and the statement."""
+    """An engine: each batch is answered with `rows` rows, the name of the engine and a number.
 
-    def __init__(self, name: str, record: Record) -> None:
-        self.name, self.record = name, record
+    A session has a ROWCOUNT, as Transact-SQL has it: it holds until it is set again, or until a message comes
+    with RESETCONNECTION (MS-TDS 2.2.3.1.2).
+    """
+
+    def __init__(self, name: str, record: Record, rows: int = 1) -> None:
+        self.name, self.record, self.rows = name, record, rows
         self.statements: list[str] = []
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=64)
         self.port: int = self.listener.getsockname()[1]
@@ -58,9 +68,10 @@
             threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
 
     def _serve(self, sock: socket.socket) -> None:
+        most = 0  # the ROWCOUNT of this session; 0: no limit
         with contextlib.suppress(OSError), sock:
             while True:
-                kind, body = _read(sock)
+                kind, status, body = _read(sock)
                 if kind == PRELOGIN:
                     _write(sock, REPLY, PRELOGIN_BODY)
                 elif kind == LOGIN7:
@@ -72,19 +83,25 @@
                 else:
                     statement = body[struct.unpack_from("<I", body)[0] :].decode("utf-16-le")
                     self.statements.append(statement)
-                    self.record(f"{self.name}: ran {statement!r}")
-                    _write(sock, REPLY, self._result(statement))
-
-    def _result(self, statement: str) -> bytes:
+                    most = 0 if status & RESET else most
+                    if found := ROWCOUNT.match(statement):
+                        most = int(found[1])
+                    count = min(self.rows, most or self.rows)
+                    self.record(f"{self.name}: ran {statement!r}: {count} of {self.rows} rows")
+                    _write(sock, REPLY, self._result(count))
+
+    def _result(self, count: int) -> bytes:
         columns = struct.pack("<BH", 0x81, 2)
-        for name in ("engine", "statement"):
+        for name in ("engine", "row"):
             columns += struct.pack("<IHBH", 0, 1, 0xE7, 8000) + bytes.fromhex("0904d00034")
             columns += bytes([len(name)]) + name.encode("utf-16-le")
-        row = b"\xd1"
-        for value in (self.name, statement):
-            data = value.encode("utf-16-le")
-            row += struct.pack("<H", len(data)) + data
-        return columns + row + _done(rows=1)
+        rows = b""
+        for number in range(count):
+            rows += ROW
+            for value in (self.name, f"bag {number}"):
+                data = value.encode("utf-16-le")
+                rows += struct.pack("<H", len(data)) + data
+        return columns + rows + _done(rows=count)
 
 
 class TdsClient:
@@ -105,11 +122,9 @@
         _write(self.sock, LOGIN7, head + table + data)
         _read(self.sock)
 
-    def request(self, statement: str) -> tuple[bool, str]:
-        """Run a batch. Returns whether it was served, and the text of the answer."""
+    def request(self, statement: str) -> tuple[bool, int]:
+        """Run a batch. Returns whether it was served, and the number of rows."""
         body = struct.pack("<IIHQI", 22, 18, 2, 0, 1) + statement.encode("utf-16-le")
         _write(self.sock, BATCH, body)
-        _, answer = _read(self.sock)
-        return answer[:1] == b"\x81", answer.decode("utf-16-le", "replace") + answer[1:].decode(
-            "utf-16-le", "replace"
-        )
+        _, _, answer = _read(self.sock)
+        return answer[:1] == b"\x81", struct.unpack("<Q", answer[-8:])[0]
