--- a/review/lib2/__init__.py
+++ b/review/lib2/__init__.py
@@ -1,1 +1,1 @@
-"""Stand-ins of the second review: clients, engines, bulletin, name server. Standard library only."""
+"""Stand-ins of the second review: clients, engines, bulletin, fleets. Standard library only."""
--- a/review/lib2/platform.py
+++ b/review/lib2/platform.py
@@ -1,4 +1,4 @@
-"""The platform: the bulletin, a proxy that delays it, and a front end's configuration."""
+"""The platform: the bulletin, and a front end's configuration."""
 
 from __future__ import annotations
 
@@ -7,36 +7,23 @@
 import struct
 import threading
 import time
-from collections import deque
 
 from .engine import Engine
 from .record import Record
 
-READY, DRAINING, GONE = 0, 1, 2
 HEAD = struct.Struct(">IQB")
-RECORD = struct.Struct(">I4sHBBBHIQ")
 SECOND = 1_000_000_000
 
 
 class Bulletin:
-    """The bulletin: events after the number that a front end names, and an empty frame each second."""
+    """The bulletin. All that it has is under `known`, so it writes an empty frame each second."""
 
     def __init__(self, record: Record) -> None:
-        self.record, self.events = record, [b""]  # event 1 is the list under `known`
+        self.record = record
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=64)
         self.port: int = self.listener.getsockname()[1]
         threading.Thread(target=self._accept, daemon=True).start()
 
-    def tell(self, engine: Engine, state: int) -> float:
-        """Add an event on one engine. Returns when it was in the bulletin."""
-        number = int(engine.name[2:], 16)
-        data = RECORD.pack(number, socket.inet_aton("127.0.0.1"), engine.port, state, 0, 0, 0, 1000, 0)
-        self.events.append(data)
-        self.record(
-            f"bulletin: event {len(self.events)}: {engine.name} is {('ready', 'draining', 'gone')[state]}"
-        )
-        return time.monotonic()
-
     def _accept(self) -> None:
         while True:
             sock, _ = self.listener.accept()
@@ -50,63 +37,11 @@
                 if not part:
                     return
                 greeting += part
-            last, sent = struct.unpack(">Q", greeting)[0], 0.0
+            last = struct.unpack(">Q", greeting)[0]
             self.record(f"bulletin: a front end asks for what follows event {last}")
             while True:
-                out = b""
-                while last < len(self.events):
-                    last += 1
-                    data = self.events[last - 1]
-                    out += HEAD.pack(len(data) + 9, last, 2) + data
-                if not out and time.monotonic() >= sent + 1.0:
-                    out = HEAD.pack(9, last, 0)
-                if out:
-                    sock.sendall(out)
-                    sent = time.monotonic()
-                time.sleep(0.02)
-
-
-class DelayProxy:
-    """A proxy whose bytes to the front end arrive later by `delay` seconds; none is lost."""
-
-    def __init__(self, target: int) -> None:
-        self.target, self.delay = target, 0.0
-        self.listener = socket.create_server(("127.0.0.1", 0), backlog=64)
-        self.port: int = self.listener.getsockname()[1]
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def _accept(self) -> None:
-        while True:
-            front, _ = self.listener.accept()
-            with contextlib.suppress(OSError):
-                back = socket.create_connection(("127.0.0.1", self.target))
-                late: deque[tuple[float, bytes]] = deque()
-                for work in (self._pass_on, self._receive, self._deliver):
-                    threading.Thread(target=work, args=(front, back, late), daemon=True).start()
-
-    def _pass_on(self, front: socket.socket, back: socket.socket, late: deque) -> None:
-        with contextlib.suppress(OSError):
-            while data := front.recv(4096):
-                back.sendall(data)
-        for sock in (front, back):
-            with contextlib.suppress(OSError):
-                sock.shutdown(socket.SHUT_RDWR)
-
-    def _receive(self, front: socket.socket, back: socket.socket, late: deque) -> None:
-        with contextlib.suppress(OSError):
-            while data := back.recv(4096):
-                late.append((time.monotonic(), data))
-        late.append((0.0, b""))
-
-    def _deliver(self, front: socket.socket, back: socket.socket, late: deque) -> None:
-        with contextlib.suppress(OSError):
-            while True:
-                if late and time.monotonic() >= late[0][0] + self.delay:
-                    data = late.popleft()[1]
-                    if not data:
-                        return
-                    front.sendall(data)
-                time.sleep(0.005)
+                sock.sendall(HEAD.pack(9, last, 0))
+                time.sleep(1.0)
 
 
 def configuration(port: int, bulletin: int, engines: list[Engine], front_ends: int = 1, me: int = 0) -> dict:
--- a/review/lib2/record.py
+++ b/review/lib2/record.py
@@ -17,7 +17,7 @@
 from pathlib import Path
 
 REPOSITORY = Path(__file__).resolve().parents[2]
-HELD, BROKEN, NOT_RUN = 0, 1, 2
+HELD, BROKEN, NOT_RUN = 0, 9, 2  # exit codes; run.sh makes 1 of 9, so that no traceback counts as a break
 
 
 class NotRun(Exception):
@@ -131,7 +131,7 @@
 
 
 def play(file: str, scene: Callable[[Case], list[str]]) -> None:
-    """Play a case and exit: 1 if `scene` returns breaks of the rule, 0 if none, 2 if it could not run."""
+    """Play a case and exit: BROKEN if `scene` returns breaks, HELD if none, NOT_RUN if it failed."""
     case, code = Case(Path(file).resolve().parent), NOT_RUN
     signal.signal(signal.SIGTERM, _stop)  # of `timeout` in run.sh: all processes are ended all the same
     try:
@@ -141,8 +141,8 @@
             case.record(f"BROKEN: {text}")
         code = BROKEN if breaks else HELD
         verdict = f"the rule was broken {len(breaks)} times" if breaks else "the rule held"
-    except NotRun as why:
-        verdict = f"not run: {why}"
+    except Exception as why:
+        verdict = f"not run: {type(why).__name__} {why}"
     finally:
         case.close()
     case.record(verdict)
