--- a/review/8/test.py
+++ b/review/8/test.py
@@ -1,4 +1,4 @@
-"""A client sets an option in its batch: the next client's answer must have all rows all the same."""
+"""A client cancels its batch halfway through the answer: the next client's answer must have all rows."""
 
 from __future__ import annotations
 
@@ -15,7 +15,9 @@
 from lib2.tds import TdsClient, TdsEngine
 
 QUERY = "select bag from scans_7.bags"
+LIMITED = f"set rowcount 2 {QUERY} set rowcount 0"  # a clerk's tool shows two rows, and sets its option back
 ROWS = 6
+CANCEL_AFTER = 0.3  # seconds; the first row has come, the others have not
 
 
 def text_of(port: int, engine: TdsEngine) -> str:
@@ -89,18 +91,21 @@
 
     case.until(connects, 30, "the sidecar is ready")
 
-    def look_up(user: str, statement: str) -> int:
-        served, count = clients[user].request(statement)
-        case.record(f"{user}: {statement!r} is {'served' if served else 'not served'} with {count} rows")
+    def look_up(user: str) -> int:
+        served, count = clients[user].request(QUERY)
+        case.record(f"{user}: {QUERY!r} is {'served' if served else 'not served'} with {count} rows")
         if not served:
             raise NotRun("a look-up was not served")
         return count
 
     breaks = []
     for _ in range(5):
-        look_up("clerk", f"set rowcount 2 {QUERY}" if case.trouble else QUERY)
+        served, count = clients["clerk"].request(LIMITED, CANCEL_AFTER if case.trouble else 0.0)
+        case.record(f"clerk: {LIMITED!r} is {f'served with {count} rows' if served else 'cancelled'}")
+        if served == case.trouble:
+            raise NotRun("the clerk's batch did not end as it was to")
         for _ in range(3):
-            if (found := look_up("planner", QUERY)) != ROWS:
+            if (found := look_up("planner")) != ROWS:
                 breaks.append(f"the planner's {QUERY!r} was served with {found} of {ROWS} rows")
         time.sleep(0.2)
     return breaks
--- a/review/lib2/tds.py
+++ b/review/lib2/tds.py
@@ -4,15 +4,18 @@
 
 import contextlib
 import re
+import select
 import socket
 import struct
 import threading
+import time
 
 from .record import Record
 
 BATCH, REPLY, ATTENTION, LOGIN7, PRELOGIN = 1, 4, 6, 16, 18
 HEAD = struct.Struct(">BBHHBB")
 VERSION = 0x74000004
+STREAMED = 0.8  # seconds between the first row of a long answer and the others
 RESET = 0x18  # RESETCONNECTION, RESETCONNECTIONSKIPTRAN
 ROW = b"\xd1"
 ROWCOUNT = re.compile(r"set rowcount (\d+)")
@@ -40,8 +43,8 @@
     return kind, first, body
 
 
-def _write(sock: socket.socket, kind: int, body: bytes) -> None:
-    sock.sendall(HEAD.pack(kind, 1, 8 + len(body), 0, 1, 0) + body)
+def _write(sock: socket.socket, kind: int, body: bytes, last: bool = True) -> None:
+    sock.sendall(HEAD.pack(kind, int(last), 8 + len(body), 0, 1, 0) + body)
 
 
 def _done(status: int = 0, rows: int = 0) -> bytes:
@@ -52,7 +55,8 @@
     """An engine: each batch is answered with `rows` rows, the name of the engine and a number.
 
     A session has a ROWCOUNT, as Transact-SQL has it: it holds until it is set again, or until a message comes
-    with RESETCONNECTION (MS-TDS 2.2.3.1.2).
+    with RESETCONNECTION (MS-TDS 2.2.3.1.2). A batch that sets it and sets it back streams its
+    answer for STREAMED seconds before its last statement runs; an Attention ends the batch where it is.
     """
 
     def __init__(self, name: str, record: Record, rows: int = 1) -> None:
@@ -88,7 +92,18 @@
                         most = int(found[1])
                     count = min(self.rows, most or self.rows)
                     self.record(f"{self.name}: ran {statement!r}: {count} of {self.rows} rows")
-                    _write(sock, REPLY, self._result(count))
+                    if found and statement.endswith("set rowcount 0"):
+                        columns_and_row = self._result(1)[: -len(_done())]
+                        _write(sock, REPLY, columns_and_row, last=False)
+                        if select.select([sock], [], [], STREAMED)[0] and _read(sock)[0] == ATTENTION:
+                            self.record(f"{self.name}: an Attention ends the batch after 1 of {count} rows")
+                            _write(sock, REPLY, _done(0x20))
+                            continue
+                        most = 0
+                        first = len(columns_and_row)
+                        _write(sock, REPLY, self._result(count)[first:])
+                    else:
+                        _write(sock, REPLY, self._result(count))
 
     def _result(self, count: int) -> bytes:
         columns = struct.pack("<BH", 0x81, 2)
@@ -122,9 +137,14 @@
         _write(self.sock, LOGIN7, head + table + data)
         _read(self.sock)
 
-    def request(self, statement: str) -> tuple[bool, int]:
-        """Run a batch. Returns whether it was served, and the number of rows."""
+    def request(self, statement: str, cancel_after: float = 0.0) -> tuple[bool, int]:
+        """Run a batch. Returns whether it was served, and the number of rows.
+
+        `cancel_after`: seconds until an Attention; the answer is then its acknowledgement."""
         body = struct.pack("<IIHQI", 22, 18, 2, 0, 1) + statement.encode("utf-16-le")
         _write(self.sock, BATCH, body)
+        if cancel_after:
+            time.sleep(cancel_after)
+            _write(self.sock, ATTENTION, b"")
         _, _, answer = _read(self.sock)
         return answer[:1] == b"\x81", struct.unpack("<Q", answer[-8:])[0]
