Rows missing from an answer: bytes behind a page leave its length in doubt

Cause: HttpEngines._receive took a page for whole once its stated length held whole rows. That more bytes lay behind it was looked at as the connection was given back, and led to its close only. The same with the rest still in the kernel, with pages of several, and with tokens behind the last DONE of a TDS packet.

Change: what lies behind a page is classified. A line that can be no row (a second response, noise) proves that the page ended where its length said; else the page is requested again, which the engine still has, and the attempt fails after four such responses. The same page twice with no whole row behind it is kept, so that an engine with noise behind every answer goes on being served (an existing test asks that). Pages whose rest turns up before or in front of the next one are read again. Why it works: the engine sends all bytes of the page, so the rest is there, or the next response on the connection begins with it.

The soak has short lengths as a fault of its own and a planted defect for them.

--- a/aspenrill/core/books.py
+++ b/aspenrill/core/books.py
@@ -119,6 +119,7 @@
     confirmed: bool = False  # a response has shown that the engine received the request
     received_at: float = 0.0  # when bytes last came from it
     malformed: int = 0  # malformed answers
+    doubted: tuple[int, bytes] | None = None  # number and body of a page with unclear bytes behind it
     state: Any = None  # for use by its protocol
 
     @property
--- a/aspenrill/engines/http.py
+++ b/aspenrill/engines/http.py
@@ -8,14 +8,14 @@
 
 from ..api import Effect, NoteKind, Outcome, Settings
 from ..core.books import Attempt, AttemptNoted, Peer, ProbeFinished, Result
-from ..net.address import format_address
 from ..net.conn import Connection, time_left
 from ..net.connecting import Refused
 from ..net.hub import Closed, Hub, TimedOut
 from ..wire import Malformed, http1
 from .base import WITHDRAW_DELAY, AttemptEnded, Engines
 from .headers import header_number, parse_load_report
-from .http_responses import read_response
+from .http_calls import HttpCalls, host_of
+from .http_responses import bytes_behind, check_trailing, error_outcome, read_response, unread_bytes
 from .pool import Pools
 
 WRITE_TIMEOUT = 1.5  # seconds for writing a call, or reading a response that nobody waits for
@@ -30,7 +30,6 @@
 MAX_LOAD_PAUSE = 0.1  # seconds; the limit for a load, as others wait for its end
 DELETE_TIMEOUT = 0.6  # seconds for a DELETE
 DELETE_INTERVAL = 0.2  # seconds between two of them
-MAX_TRIES = 4  # connections tried for an idempotent call
 MAX_RESULT = 48000  # bytes
 ERROR_STATUSES = (202, 500, 503, 504), (500, 503, 504)  # statuses besides 200: for a query, for a page of it
 QUERY_STATUSES = 200, 202  # statuses by which an engine confirms that it has received the request
@@ -42,6 +41,17 @@
     """The connection of a call broke or timed out; the engine may have received the call."""
 
 
+class UnexpectedData(Lost):
+    """Bytes that begin no response lay behind the last one on the connection.
+
+    `counted`: they have been counted as an unreadable response.
+    """
+
+    def __init__(self, data: bytes, counted: bool = False) -> None:
+        super().__init__(f"{len(data)} bytes behind a response")
+        self.data, self.counted = data, counted
+
+
 class HttpEngines(Engines):
     """Runs attempts, cancels, priority changes and probes on HTTP engines."""
 
@@ -55,6 +65,7 @@
             frozenset(at for at, spec in enumerate(settings.classes) if spec.effect is Effect.SAFE),
         )
         self.settings, self.classes = settings, classes
+        self.calls = HttpCalls(pools)
 
     def set_priority(self, attempt: Attempt, priority: int) -> None:
         """Changes the priority of an attempt in flight."""
@@ -85,8 +96,8 @@
                 continue
             break
         if head.status != 200:
-            self._return_connection(attempt.peer, conn, head)
-            outcome = self._error_outcome(head)
+            self.calls.return_connection(attempt.peer, conn, head)
+            outcome = error_outcome(head)
             if outcome.never_ran and started:  # contradictory responses: it may have run
                 outcome = Outcome.ERROR
             elif outcome.never_ran or head.status == 500:
@@ -103,12 +114,14 @@
         )
 
     def _count_unreadable(self, attempt: Attempt, why: Malformed) -> None:
-        """Counts an unreadable response. The engine still has the result, so it is requested again."""
+        """Counts an unreadable response. The engine still has the result, so it is requested again.
+
+        Raises AttemptEnded after too many.
+        """
         attempt.malformed += 1
         attempt.received_at = time.monotonic()  # it did respond
         if attempt.malformed > MAX_UNREADABLE:
-            raise AttemptEnded(Outcome.ERROR) from None
-        raise Lost from why
+            raise AttemptEnded(Outcome.ERROR) from why
 
     def _request_parts(self, attempt: Attempt) -> list[bytes]:
         """Returns the request in parts: the head shared by its class, its own headers, and the statement."""
@@ -116,7 +129,7 @@
         head = peer.request_heads.get(call.cls)
         if head is None:
             head = peer.request_heads[call.cls] = http1.post_head(
-                "/data", self._host(peer), {"X-Queue": self.classes[call.cls]}
+                "/data", host_of(peer), {"X-Queue": self.classes[call.cls]}
             )
         remaining_ms = max(1, int((attempt.until - time.monotonic()) * 1000))
         return [
@@ -146,19 +159,17 @@
         peer = attempt.peer
         return str(why) == "ECONNREFUSED" and peer.lost_at >= attempt.received_at and not peer.idle
 
-    def _host(self, peer: Peer) -> str:
-        return format_address(peer.address)
-
     def _send_call(self, attempt: Attempt, conn: Connection, method: str, path: str) -> None:
         if not conn.is_idle():  # unexpected data after the last response, or end of stream
             if conn.open and conn.peer_closed():
                 attempt.peer.lost_at = time.monotonic()
             self.pools.check_unexpected(conn)
+            data = unread_bytes(conn) if conn.open else b""
             self.pools.close(conn)
-            raise Lost
+            raise UnexpectedData(data) if data else Lost
         try:
             conn.write(
-                http1.request(method, path, self._host(attempt.peer), {}),
+                http1.request(method, path, host_of(attempt.peer), {}),
                 min(attempt.until, time.monotonic() + WRITE_TIMEOUT),
             )
             attempt.sent_at, attempt.unanswered = time.monotonic(), conn
@@ -182,6 +193,7 @@
             head, body = read_response(conn, min(attempt.until, time.monotonic() + RESPONSE_TIMEOUT))
             if head.status == 200:
                 http1.check_page(head, body, page)
+                self._check_end(attempt, conn, page, body)
             elif head.status not in ERROR_STATUSES[page > 0]:  # the response to another kind of call
                 raise Malformed(f"status {head.status}")
         except (Closed, TimedOut, Malformed) as why:
@@ -194,6 +206,8 @@
             time_left(attempt.until)
             if isinstance(why, Malformed):
                 self._count_unreadable(attempt, why)
+                if isinstance(why, http1.BadStatusLine):
+                    raise UnexpectedData(why.data, counted=True) from None
             raise Lost from None
         attempt.unanswered = None
         attempt.received_at = time.monotonic()
@@ -201,6 +215,13 @@
             attempt.confirmed = True
         return head, body
 
+    def _check_end(self, attempt: Attempt, conn: Connection, page: int, body: bytes) -> None:
+        """Raises Malformed if the bytes behind a page leave it in doubt whether it is whole."""
+        if data := bytes_behind(conn):
+            self.pools.check_unexpected(conn)
+            check_trailing(attempt, page, body, data)
+            self.pools.close(conn)
+
     def _log_lost(self, attempt: Attempt, why: Exception) -> None:
         self.hub.events.event(
             "engine_connection_lost",
@@ -216,14 +237,7 @@
         except (Closed, TimedOut, Malformed):
             self.pools.close(conn)
             return
-        self._return_connection(peer, conn, head)
-
-    def _return_connection(self, peer: Peer, conn: Connection, head: http1.Head) -> None:
-        """Returns a connection to the pool after a complete response."""
-        if head.keep_alive:
-            self.pools.release(peer, conn)
-        else:
-            self.pools.close(conn)
+        self.calls.return_connection(peer, conn, head)
 
     def _post_note(self, attempt: Attempt, head: http1.Head) -> float | None:
         """Posts a progress note; returns the share done if the note reports that."""
@@ -248,22 +262,19 @@
         pause = min(limit, PAUSE_SHARE * (now - since) * (1 - share) / (share - before), attempt.until - now)
         if pause < MIN_PAUSE:
             return conn
-        self._return_connection(attempt.peer, conn, head)
+        self.calls.return_connection(attempt.peer, conn, head)
         self.hub.sleep(pause)
         try:
             return self.pools.acquire(attempt.peer, attempt.until)
         except Refused:
             raise Lost from None
 
-    def _error_outcome(self, head: http1.Head) -> Outcome:
-        """Returns the outcome of an error response; only X-Shed proves that nothing ran."""
-        shed = head.headers.get("x-shed") == "1"
-        if head.status == 504:
-            return Outcome.NOT_STARTED if shed else Outcome.TIMEOUT
-        return Outcome.FULL if head.status == 503 and shed else Outcome.ERROR
-
     def _read_pages(self, attempt: Attempt, conn: Connection, head: http1.Head, body: bytes) -> Result:
-        """Reads all pages in order; the attempt fails if one is missing."""
+        """Reads all pages in order; the attempt fails if one is missing.
+
+        A page is read again if rows turn up behind it later, also in front of the next response on its
+        connection: its length may have left them out.
+        """
         count, parts, size = http1.page_count(head), [body], len(body)
         while len(parts) < count:
             try:
@@ -271,15 +282,24 @@
                     conn = self._reconnect(attempt)
                 self._send_call(attempt, conn, "GET", f"/data/{attempt.client_request.id}/{len(parts)}")
                 head, body = self._receive(attempt, conn, len(parts))
+            except UnexpectedData as why:
+                conn = None
+                try:
+                    check_trailing(attempt, len(parts) - 1, parts[-1], why.data)
+                except Malformed as doubt:
+                    if not why.counted:
+                        self._count_unreadable(attempt, doubt)
+                    size -= len(parts.pop())
+                continue
             except Lost:
                 conn = None
                 continue
             size += len(body)
             if head.status != 200 or size > MAX_RESULT:
-                self._return_connection(attempt.peer, conn, head)
+                self.calls.return_connection(attempt.peer, conn, head)
                 raise AttemptEnded(Outcome.ERROR)
             parts.append(body)
-        self._return_connection(attempt.peer, conn, head)
+        self.calls.return_connection(attempt.peer, conn, head)
         return Result("text", tuple(parts))
 
     def _stop_at_engine(self, attempt: Attempt) -> None:
@@ -307,7 +327,7 @@
         until = time.monotonic() + DELETE_TIMEOUT
         try:
             path = f"/data/{attempt.client_request.id}"
-            self._call(attempt.peer, "DELETE", path, until, valid=ACK_STATUSES)
+            self.calls.call(attempt.peer, "DELETE", path, until, valid=ACK_STATUSES)
             if on_its_way:
                 self._await_receipt(attempt, withdraw_at)
             return not on_its_way
@@ -333,42 +353,15 @@
             self.withdraw(attempt)
             return
         attempt.unanswered, attempt.confirmed = None, True
-        self._return_connection(attempt.peer, conn, head)
+        self.calls.return_connection(attempt.peer, conn, head)
 
     # ---- single calls ---------------------------------------------------------------------------------
 
-    def _call(
-        self, peer: Peer, method: str, path: str, until: float, body: bytes = b"", valid: tuple[int, ...] = ()
-    ) -> http1.Head:
-        """Makes an idempotent call; repeats it after a broken or unreadable response or an invalid status."""
-        for again in range(MAX_TRIES):
-            try:
-                conn = self.pools.acquire(peer, until, fresh=again > 0)
-            except Refused as why:
-                if why.broken and again < MAX_TRIES - 1:
-                    continue
-                raise
-            try:
-                conn.write(http1.request(method, path, self._host(peer), {}, body), until)
-                head = read_response(conn, until)[0]
-                if valid and head.status not in valid:  # the response to another call
-                    raise Malformed(f"status {head.status}")
-            except (Closed, Malformed):
-                self.pools.close(conn)
-                if again == MAX_TRIES - 1:
-                    raise
-                continue
-            except BaseException:
-                self.pools.close(conn)
-                raise
-            self._return_connection(peer, conn, head)
-            return head
-
     def _send_priority(self, attempt: Attempt, priority: int) -> None:
         if attempt.sent_at is None or attempt.cancelled:
             return  # its request will carry the priority, or it is no longer wanted
         try:
-            self._call(
+            self.calls.call(
                 attempt.peer,
                 "PUT",
                 f"/data/{attempt.client_request.id}",
@@ -382,7 +375,7 @@
     def _probe(self, peer: Peer) -> None:
         began, outcome, report = time.monotonic(), Outcome.ERROR, None
         try:
-            head = self._call(peer, "GET", "/stats", began + PROBE_TIMEOUT)
+            head = self.calls.call(peer, "GET", "/stats", began + PROBE_TIMEOUT)
             outcome = {200: Outcome.OK, 503: Outcome.FULL}.get(head.status, Outcome.ERROR)
             report = parse_load_report(head.headers.get("x-meter"), self.settings.report_fields)
         except Refused as why:
--- a/aspenrill/engines/tds.py
+++ b/aspenrill/engines/tds.py
@@ -12,7 +12,7 @@
 from ..net.conn import Connection
 from ..net.connecting import Refused
 from ..net.hub import Closed, Hub, TimedOut
-from ..wire import Malformed, tds
+from ..wire import Malformed, tds, tds_tokens
 from .base import MAX_BROKEN_CONNECTIONS, WITHDRAW_DELAY, AttemptEnded, Engines
 from .pool import Pools
 
@@ -34,7 +34,7 @@
     return kind, bool(status & tds.END_OF_MESSAGE), conn.incoming.pull(size)
 
 
-def read_tokens(conn: Connection, reader: tds.TokenReader, until: float) -> int | None:
+def read_tokens(conn: Connection, reader: tds_tokens.TokenReader, until: float) -> int | None:
     """Reads the rest of a message into the reader; returns the type of its first token."""
     last, first = False, None
     while not last:
@@ -66,7 +66,7 @@
             body += data
         tds.read_prelogin(body)
         conn.write(tds.packets(tds.LOGIN7, tds.login7(tds.Login(user, app))), until)
-        reader = tds.TokenReader(tds.DEFAULT_PACKET_SIZE)
+        reader = tds_tokens.TokenReader(tds.DEFAULT_PACKET_SIZE)
         read_tokens(conn, reader, until)
         if reader.answer.error or reader.answer.status & tds.DONE_ERROR:
             raise Malformed(f"login refused: {reader.answer.error}")
@@ -91,7 +91,7 @@
         if conn is None:
             attempt.sent_at = None  # the session and its batch end with the connection
             raise AttemptEnded(Outcome.RESET)
-        reader = tds.TokenReader(self.max_result_bytes)
+        reader = tds_tokens.TokenReader(self.max_result_bytes)
         attempt.state = (conn, reader)
         try:
             first = read_tokens(conn, reader, attempt.until)
@@ -129,7 +129,7 @@
             conn.write(tds.packets(tds.ATTENTION, b""), until)
             while True:
                 if reader.answer.ended:
-                    reader = tds.TokenReader(self.max_result_bytes)
+                    reader = tds_tokens.TokenReader(self.max_result_bytes)
                 read_tokens(conn, reader, until)
                 if reader.answer.status & tds.DONE_ATTENTION:
                     break
--- a/aspenrill/wire/http1.py
+++ b/aspenrill/wire/http1.py
@@ -4,6 +4,7 @@
 
 import re
 from dataclasses import dataclass
+from enum import Enum
 
 from . import Malformed
 
@@ -16,6 +17,14 @@
 CHUNK_SIZE = re.compile(rb"[0-9a-fA-F]{1,8}\Z")
 
 
+class BadStatusLine(Malformed):
+    """A response does not begin with a status line. `data`: its head as it came."""
+
+    def __init__(self, text: str) -> None:
+        super().__init__(f"status line {text[:40]!r}")
+        self.data = text.encode("latin-1")
+
+
 @dataclass(slots=True)
 class Head:
     """Status and headers of a response; header names are in lower case."""
@@ -113,7 +122,7 @@
         or not (status.isascii() and status.isdigit())
         or not 100 <= int(status) <= 599
     ):
-        raise Malformed(f"status line {status_line[:40]!r}")
+        raise BadStatusLine(text)
     headers: dict[str, str] = {}
     for line in lines[1:]:
         if not line:
@@ -160,6 +169,23 @@
         raise Malformed(f"a page of {len(body)} bytes that is not whole rows")
 
 
+class Trailing(Enum):
+    """What the bytes behind a page tell of its length."""
+
+    FOREIGN = "foreign"  # they begin with a line that is no row: the page ended where its length said
+    ROWS = "rows"  # they are whole rows, as if the length had been too short
+    UNCLEAR = "unclear"  # they may be the start of a row
+
+
+def classify_trailing(data: bytes) -> Trailing:
+    """Tells whether bytes behind a page, which ends with a row, can be further rows of that page."""
+    line, end, _ = data.partition(b"\n")
+    separators = line.translate(None, NON_SEPARATORS) + end
+    if separators != ROW_SEPARATORS[: len(separators)] or end and len(separators) < len(ROW_SEPARATORS):
+        return Trailing.FOREIGN
+    return Trailing.ROWS if data.endswith(b"\n") else Trailing.UNCLEAR
+
+
 def parse_chunk_size(line: bytes) -> int:
     """Parses a chunk-size line."""
     text = line.split(b";")[0].strip()
--- a/standins/clients.py
+++ b/standins/clients.py
@@ -10,7 +10,7 @@
 
 from aspenrill.engines.tds import read_packet
 from aspenrill.net.connecting import connect
-from aspenrill.wire import tds, thrift
+from aspenrill.wire import tds, tds_tokens, thrift
 
 if TYPE_CHECKING:
     from .world import World
@@ -102,7 +102,7 @@
 
     def read(self, within: float) -> Reply:
         """Read the next answer."""
-        until, reader, last = time.monotonic() + within, tds.TokenReader(1 << 20), False
+        until, reader, last = time.monotonic() + within, tds_tokens.TokenReader(1 << 20), False
         while not last:
             _, last, data = read_packet(self.conn, until)
             reader.feed(data)
@@ -111,7 +111,7 @@
             return Reply("cancelled")
         if answer.error:
             return Reply({50001: "refused", 50002: "failed"}.get(answer.error[0], "broken"))
-        return Reply("served", [tuple(row) for row in tds.rows_as_text(b"".join(answer.tokens))])
+        return Reply("served", [tuple(row) for row in tds_tokens.rows_as_text(b"".join(answer.tokens))])
 
     def request(self, statement: str, within: float = 10.0) -> Reply:
         """Send a SQL batch and read its answer."""
--- a/standins/soak/defects.py
+++ b/standins/soak/defects.py
@@ -116,6 +116,18 @@
             ),
         ),
     ),
+    Defect(
+        "trusts-a-short-length",
+        "lost",
+        "engines,short-lengths",
+        (
+            Replacement(
+                "aspenrill/engines/http.py",
+                "                self._check_end(attempt, conn, page, body)\n",
+                "                pass\n",
+            ),
+        ),
+    ),
     Defect(
         "looks-for-the-same-end-again",
         "lost",
--- a/standins/soak/engines.py
+++ b/standins/soak/engines.py
@@ -17,6 +17,7 @@
 LONG_WORK = (0.3, 2.0)  # seconds, from and to
 SHORT_WORK = (0.002, 0.06)  # seconds, from and to
 LONG_WORK_ODDS = 0.05  # share of the queries
+ROW_END_ODDS = 0.5  # share of the lengths that are too short and end behind a row
 FILLER = "x" * 40  # a column of each row
 
 
@@ -41,10 +42,15 @@
     def __init__(self, hub: Hub, name: str, rng: random.Random, engine_fault_share: float) -> None:
         super().__init__(hub, name)
         self.rng, self.engine_fault_share = rng, engine_fault_share
+        self.length_rng, self.short_length_share = rng, 0.0
         self.attempts: list[EngineAttempt] = []
         self._latest_attempts: dict[str, EngineAttempt] = {}  # by id
         self.behaviour = self._draw_outcome
 
+    def state_short_lengths(self, rng: random.Random, share: float) -> None:
+        """State a Content-Length that is too short for a share of the pages."""
+        self.length_rng, self.short_length_share = rng, share
+
     def _draw_outcome(self, statement: str) -> EngineBehaviour:
         after = self.rng.uniform(*(LONG_WORK if self.rng.random() < LONG_WORK_ODDS else SHORT_WORK))
         end = self.rng.choice(FAULT_OUTCOMES) if self.rng.random() < self.engine_fault_share else "ok"
@@ -95,6 +101,24 @@
                 self._end(attempt_id)
         return None
 
+    def respond(self, conn: Connection, status: int, fields: dict | None = None, body: bytes = b"") -> None:
+        """See HttpEngine; some pages have a length that is too short. All of their bytes are sent."""
+        if not self.short_length_share or status != 200 or not body:
+            return super().respond(conn, status, fields, body)
+        if self.length_rng.random() >= self.short_length_share:
+            return super().respond(conn, status, fields, body)
+        lines = "".join(f"{name}: {value}\r\n" for name, value in (fields or {}).items())
+        head = f"HTTP/1.1 200 X\r\n{lines}Content-Length: {self._draw_short_length(body)}\r\n\r\n"
+        conn.write(head.encode() + body, time.monotonic() + 5)
+        return None
+
+    def _draw_short_length(self, body: bytes) -> int:
+        """Return a length from 0 to one less than that of the body."""
+        length = self.length_rng.randrange(len(body))
+        if self.length_rng.random() < ROW_END_ODDS:
+            length = body.rfind(b"\n", 0, length) + 1
+        return length
+
     def _end(self, attempt_id: str) -> None:
         attempt = self._latest_attempts.get(attempt_id)
         if attempt is not None and attempt.ended_at is None:
--- a/standins/soak/soakrun.py
+++ b/standins/soak/soakrun.py
@@ -111,6 +111,7 @@
     def _add_engine(self) -> SoakEngine:
         name = f"s-{len(self.engines) + 1:08x}"
         engine = SoakEngine(self.hub, name, self._stream(f"engine {name}"), self.plan.engine_fault_share)
+        engine.state_short_lengths(self._stream(f"lengths {name}"), self.plan.short_length_share)
         self.engines.append(engine)
         address = engine.listener.address
         if self.plan.engine_link is not None:
--- a/tests/test_fronts.py
+++ b/tests/test_fronts.py
@@ -13,7 +13,7 @@
 
 from aspenrill.net.connecting import connect
 from aspenrill.net.hub import Closed, TimedOut
-from aspenrill.wire import tds, thrift
+from aspenrill.wire import tds, tds_tokens, thrift
 from standins.clients import Reply
 from standins.world import ROWS, SETTINGS, EngineBehaviour, World
 
@@ -303,7 +303,7 @@
         conn = connect(world.hub, world.address, time.monotonic() + 2)
         until = time.monotonic() + 5
         conn.write(tds.packets(tds.LOGIN7, tds.login7(tds.Login("stranger", "x"))), until)
-        reader = tds.TokenReader(4096)
+        reader = tds_tokens.TokenReader(4096)
         head = tds.parse_packet_header(conn.read(8, until))
         reader.feed(conn.read(head[2], until))
         assert reader.answer.error[0] == 18456 and reader.answer.status & tds.DONE_ERROR
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -10,11 +10,12 @@
 from aspenrill.core.books import Attempt, ClientRequest, Peer
 from aspenrill.engines import pool
 from aspenrill.engines.http import MAX_PAUSE, HttpEngines, parse_load_report
+from aspenrill.engines.http_responses import error_outcome
 from aspenrill.net.connecting import Refused
 from aspenrill.net.hub import Hub
 from aspenrill.wire import http1
 from standins.clients import Reply
-from standins.world import CLASSES, ROWS, SETTINGS, EngineBehaviour, World
+from standins.world import CLASSES, ROWS, EngineBehaviour, World
 
 
 class Pools:
@@ -76,8 +77,7 @@
     ],
 )
 def test_only_a_marked_refusal_proves_that_nothing_ran(status, fields, outcome):
-    engines = HttpEngines(Hub(lambda text: None), Pools(), SETTINGS, CLASSES, print)
-    assert engines._error_outcome(http1.Head(status, fields)) is outcome
+    assert error_outcome(http1.Head(status, fields)) is outcome
 
 
 @pytest.mark.parametrize(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,6 +14,7 @@
     "crowd-bad-clients": ("108-110", "links,crowd,bad-clients"),
     "engine-links": ("114-116", "engine-links,engines"),
     "calls-engines-lists": ("111-113", "calls,engines,lists,discovery,clocks"),
+    "short-lengths": ("117-119", "engines,short-lengths"),
 }
 
 
--- a/tests/test_tool.py
+++ b/tests/test_tool.py
@@ -19,7 +19,7 @@
 from aspenrill.node import ConfigError, platform
 from aspenrill.tool.__main__ import main
 from aspenrill.tool.template import TEMPLATE
-from aspenrill.wire import tds, thrift
+from aspenrill.wire import tds, tds_tokens, thrift
 from standins.clients import Reply, TdsClient
 from standins.world import ROWS, HttpEngine
 
@@ -322,7 +322,7 @@
 
         tds.read_prelogin(call(tds.PRELOGIN, tds.prelogin()))
         assert call(tds.LOGIN7, tds.login7(tds.Login("clerk", "settle")))[0] == tds.LOGINACK
-        reader = tds.TokenReader(4096)
+        reader = tds_tokens.TokenReader(4096)
         reader.feed(call(tds.SQL_BATCH, tds.sql_batch("select 1")))  # there is no engine
         assert reader.answer.error[0] in (50001, 50002)
         sock.sendall(struct.pack(">BBHHBB", 1, 1, 2, 0, 0, 0))
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from aspenrill.net.ring import Ring
-from aspenrill.wire import Malformed, bulletin, dns, http1, sql, tds, thrift
+from aspenrill.wire import Malformed, bulletin, dns, http1, sql, tds, tds_tokens, thrift
 
 
 @pytest.mark.parametrize(
@@ -176,7 +176,7 @@
 @given(st.lists(st.integers(1, 400), max_size=20))
 @settings(derandomize=True, max_examples=60)
 def test_tds_tokens_in_any_split(cuts):
-    reader, at = tds.TokenReader(1 << 16), 0
+    reader, at = tds_tokens.TokenReader(1 << 16), 0
     for cut in [*cuts, len(ANSWER)]:
         if not reader.answer.ended:
             reader.feed(ANSWER[at : at + cut])
@@ -185,7 +185,7 @@
     assert (
         answer.ended and answer.rows == 2 and answer.error == (50001, "no") and answer.status & tds.DONE_ERROR
     )
-    assert tds.rows_as_text(b"".join(answer.tokens)) == ROWS
+    assert tds_tokens.rows_as_text(b"".join(answer.tokens)) == ROWS
 
 
 def column_response(kind: int, info: bytes, value: bytes) -> bytes:
@@ -220,9 +220,9 @@
 )
 def test_tds_values(kind, info, value, text):
     data = column_response(kind, info, value)
-    reader = tds.TokenReader(1 << 16)
+    reader = tds_tokens.TokenReader(1 << 16)
     reader.feed(data)
-    assert reader.answer.ended and tds.rows_as_text(b"".join(reader.answer.tokens)) == [[text]]
+    assert reader.answer.ended and tds_tokens.rows_as_text(b"".join(reader.answer.tokens)) == [[text]]
 
 
 @pytest.mark.parametrize(
@@ -237,7 +237,7 @@
 )
 def test_invalid_or_oversized_tds_responses(data):
     with pytest.raises(Malformed):
-        tds.TokenReader(20000).feed(data)
+        tds_tokens.TokenReader(20000).feed(data)
 
 
 def test_tds_login_and_batch():
