Sessions to TDS engines: a batch finds nothing of another client's

Cause: a session went back to the pool as its last batch had left it, after an answer, an error and an acknowledged Attention (cancel, time-out, a client that left), and no packet ever asked for its reset. Isolation levels, transactions, temporary tables and application locks went to the next client in the same way.

Change: a batch on a used session carries RESETCONNECTION in its first packet, which costs no round trip. A session is ended after a cancelled batch, with an open transaction (ENVCHANGE, status of DONE), and after a statement that names what a reset leaves (isolation level) or what would hold locks until the next batch. The acknowledgement of a reset in front of a refusal does not count as a sign that the batch ran. Why it works: by MS-TDS a reset ends all state of a session but the isolation level, which only the text of a batch can set for the session.

The stand-in engine keeps session state (standins/tds_session.py).

--- a/aspenrill/engines/base.py
+++ b/aspenrill/engines/base.py
@@ -134,9 +134,12 @@
             timer.cancel()
             post_once(end)
 
-    def _send_request(self, attempt: Attempt, request: Callable[[], list[bytes]]) -> Connection | None:
+    def _send_request(
+        self, attempt: Attempt, request: Callable[[Connection], list[bytes]]
+    ) -> Connection | None:
         """Writes the request; returns its connection, None if it broke after part of the request was sent.
 
+        `request` encodes it for a connection that was acquired.
         Raises AttemptEnded if it is proven that nothing ran: no connection was established, or no byte sent.
         """
         broken = 0
@@ -159,7 +162,7 @@
                 raise AttemptEnded(Outcome.NOT_STARTED)
             before = conn.bytes_sent
             try:
-                conn.write_parts(request(), min(attempt.until, time.monotonic() + WRITE_TIMEOUT))
+                conn.write_parts(request(conn), min(attempt.until, time.monotonic() + WRITE_TIMEOUT))
             except (Closed, TimedOut) as why:
                 self.pools.abort(conn)
                 if conn.bytes_sent != before:
--- a/aspenrill/engines/http.py
+++ b/aspenrill/engines/http.py
@@ -78,7 +78,7 @@
     # ---- an attempt -----------------------------------------------------------------------------------
 
     def _execute(self, attempt: Attempt) -> None:
-        conn, started = self._send_request(attempt, lambda: self._request_parts(attempt)), False
+        conn, started = self._send_request(attempt, lambda _: self._request_parts(attempt)), False
         while True:
             try:
                 if conn is None:
--- a/aspenrill/engines/tds.py
+++ b/aspenrill/engines/tds.py
@@ -13,6 +13,7 @@
 from ..net.connecting import Refused
 from ..net.hub import Closed, Hub, TimedOut
 from ..wire import Malformed, tds, tds_tokens
+from ..wire.session_state import leaves_session_state
 from .base import MAX_BROKEN_CONNECTIONS, WITHDRAW_DELAY, AttemptEnded, Engines
 from .pool import Pools
 
@@ -34,19 +35,20 @@
     return kind, bool(status & tds.END_OF_MESSAGE), conn.incoming.pull(size)
 
 
-def read_tokens(conn: Connection, reader: tds_tokens.TokenReader, until: float) -> int | None:
-    """Reads the rest of a message into the reader; returns the type of its first token."""
-    last, first = False, None
+def read_tokens(conn: Connection, reader: tds_tokens.TokenReader, until: float) -> None:
+    """Reads the rest of a message into the reader."""
+    last = False
     while not last:
         kind, last, data = read_packet(conn, until)
         if kind != tds.REPLY:
             raise Malformed(f"packet of type {kind}")
-        if first is None and data:
-            first = data[0]
         reader.feed(data)
     if not reader.answer.ended:
         raise Malformed("a message without its DONE")
-    return first
+
+
+def _encode_batch(statement: str, reset: bool) -> bytes:
+    return tds.packets(tds.SQL_BATCH, tds.sql_batch(statement), reset=reset)
 
 
 def login_handshake(user: str, app: str) -> Callable[[Connection, float], None]:
@@ -75,7 +77,11 @@
 
 
 class TdsEngines(Engines):
-    """Runs attempts and probes on TDS engines. `most`: the limit for the bytes of one result."""
+    """Runs attempts and probes on TDS engines. `max_result_bytes`: the limit for one result.
+
+    A session serves one batch after another, of any client, and each has to find it as new: a batch on a
+    used session resets it first. A session that may keep what a reset leaves, or locks meanwhile, is ended.
+    """
 
     def __init__(self, hub: Hub, pools: Pools, post: Callable[[Any], None], max_result_bytes: int) -> None:
         super().__init__(hub, pools, post)
@@ -87,14 +93,14 @@
 
     def _execute(self, attempt: Attempt) -> None:
         statement = attempt.client_request.statement.decode("utf-8")
-        conn = self._send_request(attempt, lambda: [tds.packets(tds.SQL_BATCH, tds.sql_batch(statement))])
+        conn = self._send_request(attempt, lambda conn: [_encode_batch(statement, conn.reused)])
         if conn is None:
             attempt.sent_at = None  # the session and its batch end with the connection
             raise AttemptEnded(Outcome.RESET)
         reader = tds_tokens.TokenReader(self.max_result_bytes)
         attempt.state = (conn, reader)
         try:
-            first = read_tokens(conn, reader, attempt.until)
+            read_tokens(conn, reader, attempt.until)
         except Closed:
             self._drop_connection(attempt)
             raise AttemptEnded(Outcome.RESET) from None
@@ -102,11 +108,14 @@
             self._drop_connection(attempt)
             raise AttemptEnded(Outcome.ERROR) from None
         attempt.sent_at = attempt.state = attempt.unanswered = None
-        self.pools.release(attempt.peer, conn)
         answer = reader.answer
+        if answer.transaction_open or leaves_session_state(statement):
+            self.pools.close(conn)
+        else:
+            self.pools.release(attempt.peer, conn)
         if answer.error or answer.status & (tds.DONE_ERROR | tds.DONE_SERVER_ERROR):
             full = (
-                first == tds.ERROR and answer.error[0] in REJECTED_ERRORS
+                answer.first_token == tds.ERROR and answer.error[0] in REJECTED_ERRORS
             )  # anything before the error means that it ran
             raise AttemptEnded(Outcome.FULL if full else Outcome.ERROR)
         raise AttemptEnded(Outcome.OK, result=Result("tds", (), answer.tokens, answer.rows))
@@ -116,7 +125,8 @@
         attempt.sent_at = attempt.state = None  # the session and its batch end with the connection
 
     def _stop_at_engine(self, attempt: Attempt) -> None:
-        """Sends an Attention; resets the connection, and so ends the session, if it is not acknowledged.
+        """Sends an Attention, then ends the session: what the batch has left behind is not known. Resets the
+        connection if the Attention is not acknowledged.
 
         Until a byte of its answer has come, the batch may still be on its way: less time is left for that.
         """
@@ -134,7 +144,7 @@
                 if reader.answer.status & tds.DONE_ATTENTION:
                     break
             attempt.unanswered = None
-            self.pools.release(attempt.peer, conn)
+            self.pools.close(conn)
         except (Closed, TimedOut, Malformed):
             self.withdraw(attempt)
         attempt.sent_at = attempt.state = None
--- a/aspenrill/wire/tds.py
+++ b/aspenrill/wire/tds.py
@@ -17,6 +17,7 @@
 # bits of a packet's status
 END_OF_MESSAGE = 1
 IGNORE = 2
+RESET_CONNECTION = 8  # in the first packet of a batch: the session begins anew before it
 PACKET_HEADER = struct.Struct(">BBHHBB")  # type, status, length with this header, SPID, packet number, window
 # packet sizes in bytes
 DEFAULT_PACKET_SIZE = 4096
@@ -38,9 +39,18 @@
 # bits of the status of a DONE token
 DONE_MORE = 0x1
 DONE_ERROR = 0x2
+DONE_IN_TRANSACTION = 0x4
 DONE_COUNT = 0x10
 DONE_ATTENTION = 0x20
 DONE_SERVER_ERROR = 0x100
+# types of ENVCHANGE
+TRANSACTION_BEGUN = 8
+TRANSACTION_COMMITTED = 9
+TRANSACTION_ROLLED_BACK = 10
+DISTRIBUTED_TRANSACTION_ENLISTED = 11
+DISTRIBUTED_TRANSACTION_DEFECTED = 12
+TRANSACTION_ENDED = 17
+RESET_ACKNOWLEDGED = 18
 VERSION = 0x74000004  # TDS 7.4
 NVARCHAR = 0xE7
 COLLATION = bytes.fromhex("0904d00034")
@@ -55,13 +65,19 @@
     return kind, status, length - PACKET_HEADER.size
 
 
-def packets(kind: int, body: bytes, size: int = DEFAULT_PACKET_SIZE) -> bytes:
-    """Encodes a complete message, split into packets of at most `size` bytes."""
+def packets(kind: int, body: bytes, size: int = DEFAULT_PACKET_SIZE, reset: bool = False) -> bytes:
+    """Encodes a complete message, split into packets of at most `size` bytes.
+
+    `reset`: the server is to reset the session first (MS-TDS 2.2.3.1.2), which rolls back what is open in it,
+    drops its temporary tables and sets its options back, all but the isolation level.
+    """
     payload_size = size - PACKET_HEADER.size
     parts = []
     for number, at in enumerate(range(0, max(1, len(body)), payload_size), 1):
         piece = body[at : at + payload_size]
         status = END_OF_MESSAGE if at + payload_size >= len(body) else 0
+        if reset and not at:
+            status |= RESET_CONNECTION
         parts += [
             PACKET_HEADER.pack(kind, status, PACKET_HEADER.size + len(piece), 0, number & 0xFF, 0),
             piece,
--- a/aspenrill/wire/tds_tokens.py
+++ b/aspenrill/wire/tds_tokens.py
@@ -8,7 +8,10 @@
 from . import Malformed
 from .tds import (
     COLMETADATA,
+    DISTRIBUTED_TRANSACTION_DEFECTED,
+    DISTRIBUTED_TRANSACTION_ENLISTED,
     DONE,
+    DONE_IN_TRANSACTION,
     DONE_MORE,
     DONEINPROC,
     DONEPROC,
@@ -19,11 +22,26 @@
     MAX_PACKET_SIZE,
     NBCROW,
     ORDER,
+    RESET_ACKNOWLEDGED,
     RETURNSTATUS,
     ROW,
+    TRANSACTION_BEGUN,
+    TRANSACTION_COMMITTED,
+    TRANSACTION_ENDED,
+    TRANSACTION_ROLLED_BACK,
 )
 from .tds_values import BYTE_LENGTH_TYPES, FIXED_SIZES, SHORT_LENGTH_TYPES, TEXT_TYPES, cell_text
 
+TRANSACTION_OPENINGS = frozenset({TRANSACTION_BEGUN, DISTRIBUTED_TRANSACTION_ENLISTED})
+TRANSACTION_ENDS = frozenset(
+    {
+        TRANSACTION_COMMITTED,
+        TRANSACTION_ROLLED_BACK,
+        TRANSACTION_ENDED,
+        DISTRIBUTED_TRANSACTION_DEFECTED,
+    }
+)
+
 
 @dataclass(frozen=True)
 class Column:
@@ -44,6 +62,13 @@
     error: tuple[int, str] | None = None
     ended: bool = False
     status: int = 0
+    first_token: int | None = None  # type of the first one, an acknowledged reset aside
+    transaction_begun: bool = False  # a transaction has begun and not ended, by the ENVCHANGE tokens
+
+    @property
+    def transaction_open(self) -> bool:
+        """Whether the session has told that a transaction is open at the end of the response."""
+        return self.transaction_begun or bool(self.status & DONE_IN_TRANSACTION)
 
 
 class IncompleteToken(Exception):
@@ -105,6 +130,12 @@
         """Reads one token. Returns True if it belongs to the result."""
         kind = self._read_number("<B")
         answer = self.answer
+        if kind == ENVCHANGE:
+            change = self._read_bytes(self._read_number("<H"))[:1]
+            self._note_change(change[0] if change else None)
+            return False
+        if answer.first_token is None:
+            answer.first_token = kind
         if kind == COLMETADATA:
             if answer.columns is not None:
                 raise Malformed("two results in one answer")
@@ -127,7 +158,7 @@
                 answer.error = answer.error or (number, text)
             else:
                 self.infos.append((number, text))
-        elif kind in (LOGINACK, ENVCHANGE, ORDER):
+        elif kind in (LOGINACK, ORDER):
             self._read_bytes(self._read_number("<H"))
         elif kind == RETURNSTATUS:
             self._read_bytes(4)
@@ -135,6 +166,16 @@
             raise Malformed(f"no such token: {kind:#x}")
         return False
 
+    def _note_change(self, kind: int | None) -> None:
+        """Notes what an ENVCHANGE tells of transactions."""
+        answer = self.answer
+        if kind in TRANSACTION_OPENINGS:
+            answer.transaction_begun = True
+        elif kind in TRANSACTION_ENDS:
+            answer.transaction_begun = False
+        if answer.first_token is None and kind != RESET_ACKNOWLEDGED:
+            answer.first_token = ENVCHANGE
+
     def _parse_message(self, body: bytes) -> tuple[int, str]:
         if len(body) < 8:
             raise Malformed("message token too short")
--- a/standins/world.py
+++ b/standins/world.py
@@ -21,6 +21,7 @@
 
 from . import scenario
 from .clients import TdsClient, ThriftClient
+from .tds_session import TdsSession, split_batch
 
 CLASSES = ["lookup", "booking", "once", "usage-report"]
 SPECS = (
@@ -185,32 +186,53 @@
 
 
 class TdsEngine(Engine):
-    """A TDS engine; a long answer is sent in pieces while the statement runs."""
+    """A TDS engine, whose sessions keep state; a long answer is sent in pieces while the statement runs."""
+
+    def __init__(self, hub: Hub, name: str, host: str = "127.0.0.1") -> None:
+        super().__init__(hub, name, host)
+        self.sessions: dict[Connection, TdsSession] = {}  # those that are open
+        self.logins = 0
 
     def serve(self, conn: Connection) -> None:
         """Handle the messages of one session."""
-        while True:
-            kind, body, last = 0, b"", False
-            while not last:
-                kind, last, data = read_packet(conn, time.monotonic() + 60)
-                body += data
-            if kind == tds.PRELOGIN:
-                self.respond(conn, tds.prelogin())
-            elif kind == tds.LOGIN7:
-                self.respond(conn, tds.login_response(tds.read_login7(body), self.name))
-            elif kind == tds.ATTENTION:
-                self.respond(conn, tds.done(tds.DONE_ATTENTION))
-            else:
-                self.batch(conn, tds.read_sql_batch(body))
+        session = self.sessions[conn] = TdsSession()
+        try:
+            while True:
+                kind, status, body = self.read_message(conn)
+                if kind == tds.PRELOGIN:
+                    self.respond(conn, tds.prelogin())
+                elif kind == tds.LOGIN7:
+                    self.logins += 1
+                    self.respond(conn, tds.login_response(tds.read_login7(body), self.name))
+                elif kind == tds.ATTENTION:
+                    self.respond(conn, tds.done(tds.DONE_ATTENTION))
+                else:
+                    session.begin_batch(status)
+                    self.batch(conn, tds.read_sql_batch(body))
+        finally:
+            del self.sessions[conn]
+
+    @staticmethod
+    def read_message(conn: Connection) -> tuple[int, int, bytes]:
+        """Read a message: its type, the status of its first packet, its content."""
+        conn.wait_for_bytes(tds.PACKET_HEADER.size, time.monotonic() + 60)
+        status = tds.parse_packet_header(conn.incoming.peek(tds.PACKET_HEADER.size))[1]
+        kind, body, last = 0, b"", False
+        while not last:
+            kind, last, data = read_packet(conn, time.monotonic() + 60)
+            body += data
+        return kind, status, body
 
     def batch(self, conn: Connection, statement: str) -> None:
-        """Execute a SQL batch and write its answer."""
-        behaviour = self.behaviour(statement)
+        """Execute a SQL batch and write its answer. What stands behind its query runs at its end."""
+        behaviour, session = self.behaviour(statement), self.sessions[conn]
+        before, behind = split_batch(statement)
         self.attempt_started(statement)
         until, number = time.monotonic() + behaviour.after, 0
-        out = tds.text_columns(["a", "b", "c"])
+        out = session.acknowledgement + session.execute(before)
+        rows = session.rows(statement, behaviour.rows)
         if behaviour.end == "ok":
-            out += b"".join(tds.text_row(list(row)) for row in behaviour.rows)
+            out += tds.text_columns(["a", "b", "c"]) + b"".join(tds.text_row(list(row)) for row in rows)
         while time.monotonic() < until:
             if behaviour.after > 1 and behaviour.end == "ok" and out:  # a long answer is streamed
                 number += 1
@@ -234,8 +256,8 @@
             raise Closed
         if behaviour.end != "ok":
             number = 10928 if behaviour.end == "full" else 8134
-            return self.respond(conn, tds.error(number, "no") + tds.done(tds.DONE_ERROR))
-        self.respond(conn, out + tds.done(rows=len(behaviour.rows)))
+            return self.respond(conn, out + tds.error(number, "no") + tds.done(tds.DONE_ERROR))
+        self.respond(conn, out + session.execute(behind) + tds.done(rows=len(rows)))
 
     def respond(self, conn: Connection, body: bytes) -> None:
         """Write a TDS reply message."""
