Memory of unfinished messages: counted as it is held, however small the pieces

Cause: Connection.read kept each piece as an object of its own and counted its bytes on the wire; the TDS front kept the packets of a message in a list that nothing counted. Each connection had a whole turn in each round.

Change: a message is gathered in one buffer whose memory is counted, over all packets of a TDS message; chunked responses of engines too. Over four connections that wait for a turn share the work of a round (net/turns.py). Why it works: what is held is one buffer a message, and that is what the limit counts.

--- a/aspenrill/engines/http_responses.py
+++ b/aspenrill/engines/http_responses.py
@@ -84,15 +84,14 @@
 
 
 def _read_chunks(conn: Connection, until: float) -> bytes:
-    parts, size = [], 0
+    body = bytearray()
     while count := http1.parse_chunk_size(conn.read_until(b"\r\n", until)):
-        size += count
-        if size > http1.MAX_BODY_SIZE:
+        if len(body) + count > http1.MAX_BODY_SIZE:
             raise Malformed("body too long")
-        parts.append(conn.read(count, until))
+        body += conn.read(count, until)
         if conn.read(2, until) != b"\r\n":
             raise Malformed("a chunk longer than it says")
     for _ in range(MAX_EXTRA):
         if conn.read_until(b"\r\n", until) == b"\r\n":
-            return b"".join(parts)
+            return bytes(body)
     raise Malformed("trailers without end")
--- a/aspenrill/fronts/tds.py
+++ b/aspenrill/fronts/tds.py
@@ -18,6 +18,7 @@
 from ..net.conn import Connection
 from ..net.hub import READ, Closed, Hub, Signal
 from ..net.partialbytes import PartialMessageBytes
+from ..net.turns import Turns
 from ..wire import Malformed, tds
 from ..wire.sql import table_group
 
@@ -72,6 +73,7 @@
         self.hub, self.mappings, self.post, self.name = hub, tuple(mappings), post, name
         self.writing = 0
         self.partial_bytes = PartialMessageBytes(MAX_PARTIAL_BYTES)
+        self.turns = Turns(hub)
 
     def serve(self, conn: Connection) -> None:
         """Task body: serves a connection from PRELOGIN to its end."""
@@ -154,33 +156,39 @@
 
     def _read_message(self, max_size: int = MAX_MESSAGE) -> tuple[int, bytes]:
         """Reads a whole message. Raises Closed, or Malformed if it violates the protocol."""
-        parts, size, last, kind = [], 0, False, None
-        while not last:
-            self._give_way()
-            head = tds.parse_packet_header(self.conn.read(tds.PACKET_HEADER.size, None))
-            self.conn.mid_message = True
-            if kind not in (None, head[0]):
-                raise Malformed("a message of two types")
-            kind = head[0]
-            size += head[2]
-            if size > max_size:
-                raise Malformed(f"message of over {max_size} bytes")
-            if head[2]:
-                parts.append(self.conn.read(head[2], None))
-            last = bool(head[1] & tds.END_OF_MESSAGE)
-            if last and head[1] & tds.IGNORE:
-                kind, parts = 0, []
+        body, size, last, kind = bytearray(), 0, False, None
+        try:
+            while not last:
+                self._give_way()
+                held = body.__alloc__() if body else 0
+                head = tds.parse_packet_header(self.conn.read(tds.PACKET_HEADER.size, None, held))
+                self.conn.mid_message = True
+                if kind not in (None, head[0]):
+                    raise Malformed("a message of two types")
+                kind = head[0]
+                size += head[2]
+                if size > max_size:
+                    raise Malformed(f"message of over {max_size} bytes")
+                body += self.conn.read(head[2], None, held)
+                last = bool(head[1] & tds.END_OF_MESSAGE)
+                if not last:
+                    self.service.partial_bytes.set_bytes(self.conn, body.__alloc__() if body else 0)
+        finally:
+            self.service.partial_bytes.release(self.conn)
+        if head[1] & tds.IGNORE:
+            kind = 0
+            body.clear()
         self.conn.mid_message = False
-        return kind, b"".join(parts)
+        return kind, bytes(body)
 
     def _give_way(self) -> None:
         """Lets other tasks run at times: constant input from one client must not starve the others."""
         self.packets_read += 1
         if self.conn.wait_before_read and not len(self.conn.incoming):
             self.packets_read = 0  # the next read waits, and they run
-        elif self.packets_read >= PACKETS_PER_TURN:
+        elif self.packets_read >= self.service.turns.share(PACKETS_PER_TURN):
             self.packets_read = 0
-            self.service.hub.yield_now()
+            self.service.turns.give_way()
 
     def _log_in(self) -> None:
         kind, body = self._read_message(MAX_LOGIN)
--- a/aspenrill/fronts/thrift.py
+++ b/aspenrill/fronts/thrift.py
@@ -12,10 +12,11 @@
 from collections.abc import Callable
 from typing import Any
 
-from ..core.books import ClientLeft, ClientRequest, Failed, Final, Refused, RequestReceived, Served
-from ..net.conn import Connection
+from ..core.books import ClientLeft, ClientRequest, Failed, Final, RequestReceived
+from ..net.conn import MIN_READ_SIZE, Connection
 from ..net.hub import Closed, Hub
 from ..net.partialbytes import PartialMessageBytes
+from ..net.turns import Turns
 from ..wire import Malformed, thrift
 from .thrift_answers import AnswerWriter, UnreadBytes
 from .thrift_requests import RequestReader, string_map
@@ -57,6 +58,7 @@
         self.hub, self.post, self.is_well = hub, post, is_well
         self.reader = RequestReader(classes, keyed, tenants)
         self.partial_bytes = PartialMessageBytes(MAX_PARTIAL_BYTES)
+        self.turns = Turns(hub)
         self.unread = UnreadBytes()
 
     def serve(self, conn: Connection) -> None:
@@ -115,10 +117,14 @@
 
     def _give_way(self) -> None:
         """Lets other tasks run at times: constant input from one client must not starve the others."""
-        if self.handled >= MESSAGES_PER_TURN or self.handled_bytes >= BYTES_PER_TURN:
+        turns = self.service.turns
+        messages, size = MESSAGES_PER_TURN, BYTES_PER_TURN
+        if turns.crowded:
+            messages, size = turns.share(messages), turns.share(size)
+        if self.handled >= messages or self.handled_bytes >= size:
             self.handled = self.handled_bytes = 0
             self.unchecked = True
-            self.service.hub.yield_now()
+            turns.give_way()
         elif self.conn.wait_before_read and not len(self.conn.incoming):
             self.handled = self.handled_bytes = 0  # the next read waits, and they run
 
@@ -140,11 +146,12 @@
 
         Its close or a `forget` may be queued behind many other messages, and nothing may be started more than
         0.1 s after it. The kernel is asked if it may hold more input, or if handling 32 messages may take
-        that long.
+        that long, as the program is behind or other connections take turns.
         """
         if self.unchecked or self.unscanned:
             self.unchecked = False
-            if not self.conn.wait_before_read or self.service.hub.lag() > MAX_UNCHECKED_LAG:
+            slow = self.service.turns.crowded or self.service.hub.lag() > MAX_UNCHECKED_LAG
+            if slow or not self.conn.wait_before_read:
                 self._check_client()
         if self.unscanned:
             self.unscanned = False
@@ -165,6 +172,8 @@
         if not len(conn.incoming):
             if conn.draining:
                 conn.close_if_idle()
+            if self.service.turns.crowded:
+                conn.read_size = MIN_READ_SIZE
             conn.fill(None)
             self.unscanned = True
         conn.mid_message = True
@@ -321,21 +330,7 @@
         del self.open_requests[seqid]
         self.conn.busy -= 1
         self.conn.last_used_at = time.monotonic()
-        match final:
-            case Served(result) if result.form != "text":
-                self._answer_failed(seqid, "the result is not text")
-            case Served(result):
-                self.writer.send(seqid, *thrift.answer_parts(seqid, result.pages))
-            case Refused(retry_after):
-                hint = {"holdoff": str(round(retry_after * 1000))} if retry_after > 0 else {}
-                self.writer.send(seqid, thrift.declared_exception("serve", seqid, 1, hint))
-            case Failed(reason):
-                self._answer_failed(seqid, reason)
-
-    def _answer_failed(self, seqid: int, reason: str) -> None:
-        self.writer.send(
-            seqid, thrift.declared_exception("serve", seqid, 2, {"reason": reason} if reason else {})
-        )
+        self.writer.send_final(seqid, final)
 
     def _forget(self, number: Any, ahead: bool = False) -> None:
         """Cancels a call. It need not be open; `ahead`: its frame may not have been handled yet."""
@@ -380,7 +375,7 @@
         A client that only shut down its write side still reads the answers.
         """
         for seqid in self.open_requests:
-            self._answer_failed(seqid, "the client has ended its side")
+            self.writer.send_final(seqid, Failed("the client has ended its side"))
         self._abandon_requests()
 
     def _abandon_requests(self) -> None:
--- a/aspenrill/fronts/thrift_answers.py
+++ b/aspenrill/fronts/thrift_answers.py
@@ -1,10 +1,11 @@
-"""Writes answers to one Thrift client as fast as it reads them."""
+"""Encodes final answers, and writes them to one Thrift client as fast as it reads them."""
 
 from __future__ import annotations
 
 import time
 from collections import deque
 
+from ..core.books import Failed, Final, Refused, Served
 from ..net.conn import Connection
 from ..net.hub import Closed, Hub, Signal
 from ..wire import thrift
@@ -56,6 +57,21 @@
             self.hub.call_before_poll(self.flush)
         self._parts += parts
 
+    def send_final(self, seqid: int, final: Final) -> None:
+        """Queues the final answer to a call."""
+        match final:
+            case Served(result) if result.form != "text":
+                fault = {"reason": "the result is not text"}
+                self.send(seqid, thrift.declared_exception("serve", seqid, 2, fault))
+            case Served(result):
+                self.send(seqid, *thrift.answer_parts(seqid, result.pages))
+            case Refused(retry_after):
+                hint = {"holdoff": str(round(retry_after * 1000))} if retry_after > 0 else {}
+                self.send(seqid, thrift.declared_exception("serve", seqid, 1, hint))
+            case Failed(reason):
+                fault = {"reason": reason} if reason else {}
+                self.send(seqid, thrift.declared_exception("serve", seqid, 2, fault))
+
     def forget(self, seqid: int) -> None:
         """Drops a queued answer that the client has cancelled, unless it is partly sent."""
         remaining = deque(each for each in self._queue if each[0] != seqid)
--- a/aspenrill/net/conn.py
+++ b/aspenrill/net/conn.py
@@ -97,11 +97,8 @@
         """
         if self.open and not self.write_shut:
             self.end_reason = self.end_reason or reason
-            self.write_shut, self.write_shut_at, self.closed_locally = (
-                True,
-                time.monotonic(),
-                not self.disconnected,
-            )
+            self.write_shut, self.write_shut_at = True, time.monotonic()
+            self.closed_locally = not self.disconnected
             try:
                 self.sock.shutdown(socket.SHUT_WR)
             except OSError:
@@ -216,23 +213,29 @@
         """Whether an error of a socket call is transient and leaves the connection usable."""
         return why.errno in NO_MEMORY_ERRNOS or why.errno in UNREACHABLE_ERRNOS and not self.hung_up()
 
-    def read(self, count: int, until: float | None) -> bytes:
-        """Reads exactly `count` bytes, which may be more than the buffer holds."""
+    def read(self, count: int, until: float | None, held: int = 0) -> bytes:
+        """Reads exactly `count` bytes, more than the buffer holds too; small pieces take no more memory.
+        `held`: bytes of memory that the caller holds of the same message.
+        """
         if len(self.incoming) >= count:
             return self.incoming.pull(count)
-        parts, missing = [], count
+        message = bytearray()
         try:
-            while missing:
+            while len(message) < count:
                 if not len(self.incoming):
                     self.fill(until)
-                parts.append(self.incoming.pull(missing))
-                missing -= len(parts[-1])
-                if self.partial_bytes is not None and missing:
-                    self.partial_bytes.set_bytes(self, count - missing)
-        finally:
-            if self.partial_bytes is not None:
-                self.partial_bytes.release(self)
-        return b"".join(parts)
+                message += self.incoming.pull(count - len(message))
+                if len(message) < count:
+                    self._count_held(held + message.__alloc__())
+        except BaseException:
+            self._count_held(0)
+            raise
+        self._count_held(held)
+        return bytes(message)
+
+    def _count_held(self, count: int) -> None:
+        if self.partial_bytes is not None:
+            self.partial_bytes.set_bytes(self, count)
 
     def wait_for_bytes(self, count: int, until: float | None) -> None:
         """Waits until `count` bytes are buffered. An interrupted wait loses no data."""
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -12,12 +12,15 @@
 from aspenrill.fronts.thrift_requests import RequestReader
 from aspenrill.net.hub import Hub
 from aspenrill.net.inbox import Inbox
+from aspenrill.net.turns import FULL_TURNS
 from aspenrill.wire import tds, thrift
 from standins.world import World
 
 FIELDS = {"kind": "lookup", "req": "ab" * 8, "timeout": "5000", "owner": "main"}
 LATER_FIELD = thrift.field(thrift.I32, 3, b"\0\0\0\1")  # a reader passes over it, but the encoding is unusual
 LARGE = 60_000  # bytes of a statement
+SHARING_CLIENTS = 40
+EMPTY_ONEWAY = thrift.frame(thrift.ONEWAY, "nobody", 0, b"")
 IGNORED = tds.PACKET_HEADER.pack(
     tds.SQL_BATCH, tds.END_OF_MESSAGE | tds.IGNORE, tds.PACKET_HEADER.size, 0, 1, 0
 )
@@ -135,3 +138,36 @@
 
     world.run(scene)
     assert sum(record) >= 4000 and largest_turn(record) <= tds_front.PACKETS_PER_TURN
+
+
+@pytest.mark.parametrize("protocol", ["thrift", "tds"])
+def test_many_clients_with_much_input_share_a_round(monkeypatch, protocol):
+    # each had a turn of its own: a round of the event loop took as long as the turns of all together
+    world, rounds = World(protocol), [0]
+    front, per_turn, unit = (
+        (thrift_front.thrift, thrift_front.MESSAGES_PER_TURN, "read_message")
+        if protocol == "thrift"
+        else (tds_front.tds, tds_front.PACKETS_PER_TURN, "parse_packet_header")
+    )
+    parse, run_round = getattr(front, unit), Hub.round
+
+    def count_unit(data: bytes):
+        rounds[-1] += 1
+        return parse(data)
+
+    def count_round(hub) -> None:
+        rounds.append(0)
+        run_round(hub)
+
+    def scene() -> None:
+        clients = [world.client() for _ in range(SHARING_CLIENTS)]
+        monkeypatch.setattr(front, unit, count_unit)
+        monkeypatch.setattr(Hub, "round", count_round)
+        for client in clients:
+            client.conn.write(
+                EMPTY_ONEWAY * 300 if protocol == "thrift" else IGNORED * 1500, time.monotonic() + 10
+            )
+        world.until(lambda: sum(rounds) >= SHARING_CLIENTS * (290 if protocol == "thrift" else 1490))
+
+    world.run(scene)
+    assert per_turn <= max(rounds) <= 3 * FULL_TURNS * per_turn
