Messages of very many short values: bounded by their values, not by bytes alone

Cause: a turn of the event loop was bounded in messages and bytes, but each value costs time: 8 ms and more for one message.

Change: a message may have 1,000 values; one with more is answered as one whose arguments cannot be read, before they are read. Why it works: the work of a message is the values that are read.

--- a/aspenrill/wire/thrift.py
+++ b/aspenrill/wire/thrift.py
@@ -36,6 +36,7 @@
 
 VERSION = 0x8001
 MAX_DEPTH = 8  # of nested values
+MAX_VALUES = 1000  # of a message; a usual call has some 15
 U32_STRUCT = struct.Struct(">I")
 I8_STRUCT = struct.Struct(">b")
 I16_STRUCT = struct.Struct(">h")
@@ -63,6 +64,7 @@
 class _Reader:
     def __init__(self, data: bytes) -> None:
         self.data, self.position, self.end = data, 0, len(data)
+        self.values = 0  # that were met, each of which takes time and memory, however short it is
 
     def unpack(self, struct_format: struct.Struct) -> Any:
         at = self.position
@@ -86,8 +88,21 @@
         count = self.unpack(I32_STRUCT)
         if not 0 <= count * min_size <= len(self.data) - self.position:
             raise Malformed(f"{count} elements at byte {self.position - 4}")
+        self.add_values(count)
         return count
 
+    def count_pairs(self, min_size: int) -> int:
+        """Reads the number of entries of a map, of two values each."""
+        count = self.count(min_size)
+        self.add_values(count)
+        return count
+
+    def add_values(self, count: int) -> None:
+        """Counts values before they are read. Raises Malformed if the message has too many."""
+        self.values += count
+        if self.values > MAX_VALUES:
+            raise Malformed(f"over {MAX_VALUES} values")
+
     def value(self, kind: int, depth: int) -> Any:
         if kind in FIXED_SIZE_STRUCTS:
             value = self.unpack(FIXED_SIZE_STRUCTS[kind])
@@ -102,8 +117,10 @@
             key, item = self.unpack(I8_STRUCT), self.unpack(I8_STRUCT)
             if key == item == STRING:
                 binary = self.binary
-                return {binary(): binary() for _ in range(self.count(8))}
-            pairs = [(self.value(key, depth + 1), self.value(item, depth + 1)) for _ in range(self.count(2))]
+                return {binary(): binary() for _ in range(self.count_pairs(8))}
+            pairs = [
+                (self.value(key, depth + 1), self.value(item, depth + 1)) for _ in range(self.count_pairs(2))
+            ]
             if key in (STRUCT, MAP, SET, LIST):
                 return pairs
             return dict(pairs)
@@ -115,6 +132,7 @@
     def struct(self, depth: int) -> dict[int, Any]:
         fields = {}
         while kind := self.unpack(I8_STRUCT):
+            self.add_values(1)
             number = self.unpack(I16_STRUCT)
             fields[number] = self.value(kind, depth)
         return fields
