Long statements: read in slices, one at a time, so that they hold nobody else up

Cause: the table group of a statement is looked for as its message is handled, before anything is decided, at some 2 us a word: 70 ms in one turn of the event loop. With several such clients the loop was late, and the program refused all for that.

Change: a statement of over 2,048 characters is read in slices of 1 ms, between which other tasks run, and each front, Thrift and TDS, reads one such at a time. One whose turn does not come within 0.1 s is refused. The connection is not evicted meanwhile, and a client that has closed, cancelled or forgotten by then gets no attempt. Why it works: a round of the event loop has one slice of one long statement, however many come.

Beside it: the counting of unusable messages moved from fronts/thrift.py to fronts/misuse.py.

--- a/aspenrill/fronts/tds.py
+++ b/aspenrill/fronts/tds.py
@@ -20,7 +20,7 @@
 from ..net.partialbytes import PartialMessageBytes
 from ..net.turns import Turns
 from ..wire import Malformed, tds
-from ..wire.sql import table_group
+from .statements import StatementReader, TooManyLong, is_long
 
 MAX_LOGIN = 16 * 1024  # bytes of a message before the login is complete
 MAX_STATEMENT = 256 * 1024  # characters
@@ -74,6 +74,7 @@
         self.writing = 0
         self.partial_bytes = PartialMessageBytes(MAX_PARTIAL_BYTES)
         self.turns = Turns(hub)
+        self.statements = StatementReader(hub)
 
     def serve(self, conn: Connection) -> None:
         """Task body: serves a connection from PRELOGIN to its end."""
@@ -251,13 +252,20 @@
             return
         spent = max(self.service.hub.lag(), arrived - self.conn.received_after)
         time_budget = max(0.0, mapping.timeout - spent)
+        try:
+            group = self._read_group(statement)
+        except TooManyLong:
+            self._answer_refused(0.0)
+            return
+        if is_long(statement) and self._cancelled_meanwhile():
+            return
         self.request = ClientRequest(
             os.urandom(8).hex(),
             mapping.cls,
             mapping.tenant,
             statement.encode("utf-8"),
             key,
-            table_group(statement),
+            group,
             arrived,
             time_budget,
             self._answer,
@@ -266,6 +274,30 @@
         self.conn.requests += 1
         self.service.post(RequestReceived(self.request))
 
+    def _read_group(self, statement: str) -> int | None:
+        """Returns the table group of a statement. Raises TooManyLong."""
+        self.conn.busy += 1  # not to be evicted while a long statement is read
+        try:
+            return self.service.statements.table_group(statement)
+        finally:
+            self.conn.busy -= 1
+
+    def _cancelled_meanwhile(self) -> bool:
+        """Whether an Attention came while a batch was read, and answers it. Raises Closed if the client has
+        closed."""
+        conn = self.conn
+        if conn.hung_up():
+            raise Closed("the client has gone")
+        if conn.incoming.free and conn.peer_closed() is None:
+            conn.wait_before_read = False
+            conn.fill(None)
+        if len(conn.incoming) < tds.PACKET_HEADER.size:
+            return False
+        if self._read_message()[0] != tds.ATTENTION:
+            raise Malformed("a request while another is open")
+        self._handle_attention()
+        return True
+
     # ---- writing --------------------------------------------------------------------------------------
 
     def _answer(self, call: ClientRequest, final: Final) -> None:
@@ -285,17 +317,20 @@
                 rows = result.rows if result.form == "tds" else len(tokens) - 1
                 self._start_answer([*tokens, tds.done(rows=rows)])
             case Refused(retry_after):
-                later = f"; come back in {round(retry_after * 1000)} ms" if retry_after > 0 else ""
-                self._start_answer(
-                    [
-                        tds.error(ERROR_REFUSED, f"refused, another try is harmless{later}"),
-                        tds.done(tds.DONE_ERROR),
-                    ]
-                )
+                self._answer_refused(retry_after)
             case Failed(reason):
                 text = "failed, and may have run" + (f": {reason}" if reason else "")
                 self._start_answer([tds.error(ERROR_FAILED, text), tds.done(tds.DONE_ERROR)])
 
+    def _answer_refused(self, retry_after: float) -> None:
+        later = f"; come back in {round(retry_after * 1000)} ms" if retry_after > 0 else ""
+        self._start_answer(
+            [
+                tds.error(ERROR_REFUSED, f"refused, another try is harmless{later}"),
+                tds.done(tds.DONE_ERROR),
+            ]
+        )
+
     def _start_answer(self, tokens: list[bytes]) -> None:
         """Starts a task that writes a message. As requests come one at a time, there is at most one."""
         self.writing = True
--- a/aspenrill/fronts/thrift.py
+++ b/aspenrill/fronts/thrift.py
@@ -18,6 +18,8 @@
 from ..net.partialbytes import PartialMessageBytes
 from ..net.turns import Turns
 from ..wire import Malformed, thrift
+from .misuse import MisuseCounter
+from .statements import StatementReader, TooManyLong, is_long
 from .thrift_answers import AnswerWriter, UnreadBytes
 from .thrift_requests import RequestReader, string_map
 
@@ -27,10 +29,9 @@
 MAX_QUEUED = 4 * MAX_OPEN  # unsent answers above which a client is no longer read
 READER_CHECK_INTERVAL = 0.05  # seconds between two checks whether it reads them
 TOO_MANY_OPEN = {"holdoff": "1000"}  # milliseconds that a client above that limit should wait
-MAX_BAD = 16  # unusable messages after which a connection is closed
-MAX_MALFORMED = 16  # messages that cannot even be answered after which the connection is closed
 MESSAGES_PER_TURN = 8  # messages of one client handled before other tasks run
 BYTES_PER_TURN = 16 * 1024  # bytes of such messages, likewise
+CLIENT_ENDED = "the client has ended its side"
 MAX_UNCHECKED_LAG = 0.02  # seconds of event loop lag up to which the 4 turns of 32 messages stay below 0.1
 
 
@@ -56,7 +57,7 @@
         self.min_shed_after = min(shed_after, default=0.0) if shed_after else float("inf")
         self.shed_hint = {"holdoff": str(round(retry_after * 1000))} if retry_after > 0 else {}
         self.hub, self.post, self.is_well = hub, post, is_well
-        self.reader = RequestReader(classes, keyed, tenants)
+        self.reader = RequestReader(classes, keyed, tenants, StatementReader(hub).table_group)
         self.partial_bytes = PartialMessageBytes(MAX_PARTIAL_BYTES)
         self.turns = Turns(hub)
         self.unread = UnreadBytes()
@@ -73,12 +74,12 @@
         self.service, self.conn = service, conn
         self.writer = AnswerWriter(service.hub, conn, service.unread)
         self.open_requests: dict[int, ClientRequest] = {}
-        self.bad_count = self.malformed_count = 0  # messages that are unusable, that cannot be answered
-        self.refusing = False  # disconnecting: further calls are refused at once
+        self.misuse = MisuseCounter(conn)
         self.last_seqid = 0  # sequence number of the last call; they start at 1 and count up
         self.unchecked = False  # whether the client has gone is to be checked before the next message
         self.unscanned = False  # input was read that has not been scanned for `forget`
         self.handled = self.handled_bytes = 0  # messages, and their bytes, since other tasks ran
+        self.reading = 0  # sequence number of the call whose long statement is being read
         self.forgotten: set[int] = set()  # calls cancelled by a `forget` that was found before their turn
         conn.partial_bytes = service.partial_bytes
 
@@ -193,7 +194,7 @@
             self._answer_internal_error(data[start:end])
 
     def _handle_message(self, data: bytes, start: int, end: int, arrived: float) -> None:
-        if self.refusing:
+        if self.misuse.refusing:
             self._refuse(data[start:end])
             return
         fast = thrift.read_serve(data, start, end)
@@ -204,33 +205,16 @@
         try:
             message = thrift.read_message(data[start:end])
         except Malformed:
-            self._count_malformed()
+            self.misuse.count_malformed()
             return
         self._dispatch(message, arrived)
 
-    def _count_bad(self) -> None:
-        self.bad_count += 1
-        if self.bad_count >= MAX_BAD:
-            self._disconnect_client()
-
-    def _count_malformed(self) -> None:
-        """Counts a message without a sequence number. The framing is intact, so a request may follow."""
-        self._disconnect_client()
-        self.malformed_count += 1
-        if self.malformed_count > MAX_MALFORMED:
-            raise Closed("messages that cannot be read")
-
-    def _disconnect_client(self) -> None:
-        """Closes the connection after the last answer, as soon as nothing is unread."""
-        self.refusing = self.conn.draining = True
-        self.conn.end_reason = self.conn.end_reason or "messages that cannot be used"
-
     def _refuse(self, frame: bytes) -> None:
         """Handles a message of a client being disconnected: each call is refused, a `forget` is obeyed."""
         try:
             message = thrift.read_message(frame)
         except Malformed:
-            self._count_malformed()
+            self.misuse.count_malformed()
             return
         if message.kind == thrift.ONEWAY and message.name == "forget":
             self._forget((message.args or {}).get(1))
@@ -273,11 +257,11 @@
         if message.kind == thrift.ONEWAY and name == "forget":
             self._forget((args or {}).get(1))
         elif message.kind != thrift.CALL:
-            self._count_bad()
+            self.misuse.count_bad()
             if message.kind != thrift.ONEWAY:
                 self._answer_exception(message, thrift.PROTOCOL_ERROR, "not a call")
         elif seqid != self.last_seqid + 1:
-            self._count_bad()
+            self.misuse.count_bad()
             self._answer_exception(message, thrift.BAD_SEQUENCE, f"{self.last_seqid + 1} is next")
         else:
             self.last_seqid = seqid
@@ -286,15 +270,15 @@
     def _handle_call(self, message: thrift.Message, args: dict[int, Any] | None, arrived: float) -> None:
         name, seqid = message.name, message.seqid
         if args is None:
-            self._count_bad()
+            self.misuse.count_bad()
             self._answer_exception(message, thrift.PROTOCOL_ERROR, "arguments cannot be read")
         elif name == "isWell":
             self.writer.send(seqid, thrift.answer(name, seqid, b"", {}, self.service.is_well()))
         elif name != "serve":
-            self._count_bad()
+            self.misuse.count_bad()
             self._answer_exception(message, thrift.UNKNOWN_METHOD, "no such method")
         elif len(self.open_requests) >= MAX_OPEN:
-            self._count_bad()
+            self.misuse.count_bad()
             self.writer.send(seqid, thrift.declared_exception(name, seqid, 1, TOO_MANY_OPEN))
         else:
             self._serve(seqid, string_map(args.get(1)), args.get(2), arrived)
@@ -312,17 +296,44 @@
             return
         lag, unread_for = self.service.hub.lag(), arrived - self.conn.received_after
         spent = lag if lag > unread_for else unread_for
+        self.conn.busy += 1  # not to be evicted while a long statement is read
         try:
             call = self.service.reader.read(fields, statement, arrived, spent, self._answer, seqid)
         except ValueError as why:
-            self._count_bad()
+            self.misuse.count_bad()
             self.writer.send(seqid, thrift.declared_exception("serve", seqid, 2, {"reason": str(why)}))
             return
+        except TooManyLong:
+            hint = self.service.shed_hint
+            self.writer.send(seqid, thrift.declared_exception("serve", seqid, 1, hint))
+            return
+        finally:
+            self.conn.busy -= 1
+        if is_long(statement) and not self._still_wanted(seqid):
+            return
         self.open_requests[seqid] = call
         self.conn.busy += 1
         self.conn.requests += 1
         self.service.post(RequestReceived(call))
 
+    def _still_wanted(self, seqid: int) -> bool:
+        """Whether a call is wanted after its statement was read, while its client may have left.
+
+        Raises Closed if the client has closed.
+        """
+        try:
+            self._check_client()
+        except ClientClosed:
+            self.writer.send_final(seqid, Failed(CLIENT_ENDED))
+            raise
+        conn, self.reading = self.conn, seqid
+        if conn.incoming.free and conn.peer_closed() is None:
+            conn.wait_before_read = False
+            conn.fill(None)
+        self._scan_buffered()
+        self.reading = 0
+        return seqid not in self.forgotten
+
     def _answer(self, call: ClientRequest, final: Final) -> None:
         seqid = call.tag
         if self.open_requests.get(seqid) is not call:
@@ -341,7 +352,7 @@
             self.conn.busy -= 1
             call.gone = True
             self.service.post(ClientLeft(call))
-        elif ahead and number > self.last_seqid:
+        elif ahead and (number > self.last_seqid or number == self.reading):
             self.forgotten.add(number)
         else:
             self.forgotten.discard(number)
@@ -375,7 +386,7 @@
         A client that only shut down its write side still reads the answers.
         """
         for seqid in self.open_requests:
-            self.writer.send_final(seqid, Failed("the client has ended its side"))
+            self.writer.send_final(seqid, Failed(CLIENT_ENDED))
         self._abandon_requests()
 
     def _abandon_requests(self) -> None:
--- a/aspenrill/fronts/thrift_requests.py
+++ b/aspenrill/fronts/thrift_requests.py
@@ -7,7 +7,6 @@
 from typing import Any
 
 from ..core.books import ClientRequest, Final
-from ..wire.sql import table_group
 
 REPLY_MARGIN = 0.1  # seconds of the client's time-out reserved for the delivery of the answer
 MAX_TIMEOUT_DIGITS = 9  # of milliseconds
@@ -20,8 +19,14 @@
 class RequestReader:
     """Builds requests, resolving the names of classes and tenants from the settings."""
 
-    def __init__(self, classes: list[str], keyed: list[bool], tenants: list[str]) -> None:
-        self.keyed, self.tenants = keyed, tenants
+    def __init__(
+        self,
+        classes: list[str],
+        keyed: list[bool],
+        tenants: list[str],
+        table_group: Callable[[str], int | None],
+    ) -> None:
+        self.keyed, self.tenants, self.table_group = keyed, tenants, table_group
         self.class_of = {name.encode(): at for at, name in enumerate(classes)}
         self.tenant_of = {name.encode(): at for at, name in enumerate(tenants)}
 
@@ -34,7 +39,7 @@
         reply: Callable[[ClientRequest, Final], None],
         tag: int,
     ) -> ClientRequest:
-        """Returns the request. Raises ValueError that names the invalid field.
+        """Returns the request. Raises ValueError that names the invalid field, or what `table_group` raises.
 
         `spent`: seconds of its time-out that have passed already.
         """
@@ -65,7 +70,7 @@
             tenant,
             statement,
             key and key.decode("ascii"),
-            table_group(statement.decode("utf-8", "replace")),
+            self.table_group(statement.decode("utf-8", "replace")),
             arrived,
             max(0.0, int(timeout_ms) / 1000 - REPLY_MARGIN - spent),
             reply,
--- a/standins/soak/defects.py
+++ b/standins/soak/defects.py
@@ -38,6 +38,7 @@
 
 
 THRIFT = "aspenrill/fronts/thrift.py"
+MISUSE = "aspenrill/fronts/misuse.py"
 NODE = "aspenrill/node.py"
 DEFECTS = (
     Defect(
@@ -60,7 +61,7 @@
         "discards-behind-a-bad-message",
         "lost",
         "bad-clients",
-        (Replacement(THRIFT, "        self.bad_count += 1\n", '        raise Closed("a bad message")\n'),),
+        (Replacement(MISUSE, "        self.bad_count += 1\n", '        raise Closed("a bad message")\n'),),
     ),
     Defect(
         "exits-before-the-last-answer",
