An id that comes again after its client left: not beside the earlier attempt

Cause: the owner looked for an id among the open requests only. A request is closed as its client leaves or its time runs out, while its attempt is still being stopped; the end of that attempt, told by id, then counted for the second request, and its DELETE, by id too, could meet it.

Change: core/ending.py knows the attempts of closed requests and holds a request with such an id until the attempt has ended. Why it works: nothing is sent under an id before the proof of how the earlier attempt ended.

--- a/aspenrill/core/owner.py
+++ b/aspenrill/core/owner.py
@@ -13,6 +13,7 @@
 from ..net.hub import Hub, Queue
 from . import books
 from .books import Attempt, ClientRequest, Engines, Failed, Final, Peer, Refused, Served
+from .ending import EndingAttempts, Verdict
 from .enginelist import limit_list, update_peers
 from .requestlog import RequestLog
 
@@ -30,6 +31,7 @@
         self.gateway = Gateway(settings, seed, time.monotonic())
         self.request_log = RequestLog(hub.events, settings)
         self.open: dict[str, ClientRequest] = {}
+        self.ending = EndingAttempts(settings)
         self.peers: dict[str, Peer] = {}
         self.listed = False
         self.healthy = self.accepting = True
@@ -78,9 +80,21 @@
             return
         self.open[request.id] = request
         request.deadline_timer = self.hub.timers.at(request.deadline + EXPIRY_GRACE, self._expire, request)
-        if self.answer_cache is None or not self._find_cached(request):
+        if request.id in self.ending:
+            self._admit_again(request)
+        elif self.answer_cache is None or not self._find_cached(request):
             self._start_request(request)
 
+    def _admit_again(self, request: ClientRequest) -> None:
+        """Start a request whose id was used before, unless the earlier one prevents that."""
+        match self.ending.check(request):
+            case Verdict.HOLD:
+                self.ending.hold(request)
+            case Verdict.MAY_HAVE_RUN:
+                self._final(request, Failed("an earlier request with this id may have run"))
+            case Verdict.ADMIT if self.answer_cache is None or not self._find_cached(request):
+                self._start_request(request)
+
     def _find_cached(self, request: ClientRequest) -> bool:
         """Whether a cached answer ended the request, or it waits for the answer of an equal one."""
         now = self.answer_cache.clock()
@@ -127,7 +141,7 @@
         if outcome is not api.Outcome.OK:
             self.request_log.attempt_ended(attempt, outcome)
         ok = outcome is api.Outcome.OK
-        freed = None
+        held, freed = self.ending.end(attempt, outcome), None
         if self.answer_cache is not None:
             freed = self.answer_cache.ended(request, end.result if ok else None, self.answer_cache.clock())
         if ok and self.fleet_feed is not None:
@@ -137,17 +151,10 @@
                 self._final(request, Served(end.result))
             else:
                 outcome = api.Outcome.TIMEOUT
+        engine, age, closed = attempt.peer.engine, now - attempt.began_at, not request.open
         self._decide(
             api.AttemptEnded(
-                request.id,
-                attempt.number,
-                attempt.peer.engine,
-                outcome,
-                now - attempt.began_at,
-                not request.open,
-                end.work,
-                end.memory_mb,
-                end.report,
+                request.id, attempt.number, engine, outcome, age, closed, end.work, end.memory_mb, end.report
             )
         )
         if freed is not None:
@@ -155,6 +162,8 @@
                 self._final(other, Served(end.result))
             for other in freed.to_send:
                 self._start_request(other)
+        if held is not None and held.open:
+            self._admit_again(held)
 
     def _on_note(self, note: books.AttemptNoted) -> None:
         attempt = note.attempt
@@ -338,9 +347,7 @@
         request.attempts_sent += 1
         if self.answer_cache is not None:
             self.answer_cache.sent(request, self.answer_cache.clock())
-        if (
-            request.gone
-        ):  # nothing is started for it any more, not even a connect; its `ClientLeft` event follows
+        if request.gone:  # nothing is started for it, not even a connect; its `ClientLeft` event follows
             self.queue.put(books.AttemptFinished(attempt, api.Outcome.NOT_STARTED))
             return
         request.attempt = attempt
@@ -365,6 +372,7 @@
         if request.deadline_timer is not None:
             request.deadline_timer.cancel()
         if request.attempt is not None:
+            self.ending.add(request.attempt)
             self.engines.cancel(request.attempt)
         if self.answer_cache is not None:
             for other in self.answer_cache.closed(request, self.answer_cache.clock()):
