Two engines at one address: the one that was there before counts as gone

Cause: the owner's records go by engine id, and nothing looked at the address, which can have one process only. The merge rule of sidecars' sources goes by the address and was not affected.

Change: of two live engines at one address the one that started later is there, or, where that is not known, the one listed there later; the other counts as gone, and the log says so. Two that a whole list names with the same start both stay. Why it works: what is sent to an address reaches the process that has it, so only that one's state may decide.

--- a/aspenrill/core/enginelist.py
+++ b/aspenrill/core/enginelist.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 
 from ..api import EngineState
-from ..members import EngineListUpdate
+from ..members import EngineListUpdate, Member
 from .books import Peer
 
 
@@ -23,6 +24,54 @@
     )
 
 
+def remove_superseded(
+    update: EngineListUpdate, peers: dict[str, Peer], log: Callable[[str], None]
+) -> EngineListUpdate:
+    """The update, with the engines as gone whose address another process has taken over.
+
+    An address has one process. Of two live engines at it the one that started later is there; where that is
+    not known, the one that was listed there later. Work for the other one would reach it too, and count for
+    the wrong engine: one that is cold would get the work of a warm one.
+    """
+    moved = [member for member in update.members if _takes_address(member, peers.get(member.engine))]
+    if not moved:
+        return update
+    members = {member.engine: member for member in update.members}
+    holders = {} if update.complete else _holders(peers)
+    for member in update.members:
+        if member.state is EngineState.LIVE and members[member.engine] is member and member not in moved:
+            holders.setdefault(member.address, member)
+    for member in moved:
+        other = holders.get(member.address)
+        if other is None or other.engine == member.engine:
+            holders[member.address] = member
+            continue
+        if other.engine in members and other.started == member.started:
+            continue  # named together, and nothing tells which one is there
+        earlier, later = (member, other) if other.started > member.started else (other, member)
+        holders[member.address] = later
+        if members.get(earlier.engine, earlier).address == earlier.address:
+            members[earlier.engine] = replace(earlier, state=EngineState.GONE)
+            log(f"engine {earlier.engine} counts as gone: {later.engine} has its address")
+    return EngineListUpdate(update.number, update.complete, tuple(members.values()))
+
+
+def _takes_address(member: Member, known: Peer | None) -> bool:
+    """Whether a live engine is new at its address."""
+    if member.state is not EngineState.LIVE:
+        return False
+    return known is None or known.address != member.address or member.started > known.started
+
+
+def _holders(peers: dict[str, Peer]) -> dict[tuple[str, int], Member]:
+    """The engines that are listed and not gone, by address."""
+    return {
+        peer.address: Member(peer.engine, peer.address, peer.state, started=peer.started)
+        for peer in peers.values()
+        if peer.state is not EngineState.GONE
+    }
+
+
 def update_peers(update: EngineListUpdate, peers: dict[str, Peer]) -> list[Peer]:
     """Update the records and return those that take no more work or were replaced by another process."""
     retired: list[Peer] = []
--- a/aspenrill/core/owner.py
+++ b/aspenrill/core/owner.py
@@ -14,7 +14,7 @@
 from . import books
 from .books import Attempt, ClientRequest, Engines, Failed, Final, Peer, Refused, Served
 from .ending import EndingAttempts, Verdict
-from .enginelist import limit_list, update_peers
+from .enginelist import limit_list, remove_superseded, update_peers
 from .requestlog import RequestLog
 
 UNREACHABLE_AT = 3  # failed connects in a row, from which an engine counts as unreachable
@@ -227,6 +227,7 @@
 
     def _on_list_update(self, update: EngineListUpdate) -> None:
         update = limit_list(update, self.peers, self.max_engines, self.hub.log)
+        update = remove_superseded(update, self.peers, self.hub.log)
         retired = update_peers(update, self.peers)
         for peer in retired:  # all are marked: even after an error here none gets work
             try:
