Soak: rough clients and their defect; reading at once without waiting

After a long statement the front read what had come meanwhile without a time limit, trusting a peek that may have failed.

Connection.fill_at_once never waits; both fronts and the HTTP engines use it. What is left of a partial send moved from net/conn.py to net/sendparts.py.

--- a/aspenrill/engines/http_responses.py
+++ b/aspenrill/engines/http_responses.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import contextlib
-import time
 
 from ..api import Outcome
 from ..core.books import Attempt
 from ..net.conn import Connection
-from ..net.hub import Closed, TimedOut
+from ..net.hub import Closed
 from ..wire import Malformed, http1
 
 MAX_EXTRA = 8  # 1xx responses before the final one, and trailer lines after the last chunk
@@ -45,9 +44,8 @@
 def unread_bytes(conn: Connection) -> bytes:
     """Returns what is unread on a connection, in the kernel too, as far as one read returns it."""
     if not len(conn.incoming) and conn.peer_closed() is None:
-        conn.wait_before_read = False
-        with contextlib.suppress(Closed, TimedOut):
-            conn.fill(time.monotonic())
+        with contextlib.suppress(Closed):
+            conn.fill_at_once()
     return conn.incoming.peek(len(conn.incoming))
 
 
--- a/aspenrill/fronts/tds.py
+++ b/aspenrill/fronts/tds.py
@@ -289,8 +289,7 @@
         if conn.hung_up():
             raise Closed("the client has gone")
         if conn.incoming.free and conn.peer_closed() is None:
-            conn.wait_before_read = False
-            conn.fill(None)
+            conn.fill_at_once()
         if len(conn.incoming) < tds.PACKET_HEADER.size:
             return False
         if self._read_message()[0] != tds.ATTENTION:
--- a/aspenrill/fronts/thrift.py
+++ b/aspenrill/fronts/thrift.py
@@ -328,8 +328,7 @@
             raise
         conn, self.reading = self.conn, seqid
         if conn.incoming.free and conn.peer_closed() is None:
-            conn.wait_before_read = False
-            conn.fill(None)
+            conn.fill_at_once()
         self._scan_buffered()
         self.reading = 0
         return seqid not in self.forgotten
--- a/aspenrill/net/conn.py
+++ b/aspenrill/net/conn.py
@@ -14,6 +14,7 @@
 from .inbox import Inbox
 from .partialbytes import PartialMessageBytes
 from .ring import Ring
+from .sendparts import join_unsent
 from .socketerrors import NO_MEMORY_ERRNOS, UNREACHABLE_ERRNOS
 
 DEFAULT_BUFFER_SIZE = 16384  # bytes of the buffer for each direction
@@ -204,6 +205,12 @@
                 raise Closed("more than fits" if count else "end of stream")
             self.wait_before_read = True
 
+    def fill_at_once(self) -> None:
+        """Reads what is available into the buffer, without waiting. Raises Closed."""
+        self.wait_before_read = False
+        with contextlib.suppress(TimedOut):
+            self.fill(time.monotonic())
+
     def _pause_after_error(self, until: float | None) -> None:
         """Sleeps before a call that failed with a transient error is repeated."""
         seconds = time_left(until)
@@ -360,7 +367,7 @@
             some = parts[at : at + MAX_SEND_PARTS] if len(parts) > MAX_SEND_PARTS else parts
             count = self._send(some[0]) if len(some) == 1 else self._call_send(self.sock.sendmsg, some)
             if count < sum(map(len, some)):
-                return _unsent(parts[at:], count)
+                return join_unsent(parts[at:], count)
             at += len(some)
         return b""
 
@@ -387,12 +394,3 @@
             return 0
         self.bytes_sent += count
         return count
-
-
-def _unsent(parts: list[bytes], count: int) -> bytes:
-    """Joins `parts` without their first `count` bytes."""
-    for at, part in enumerate(parts):
-        if count < len(part):
-            return b"".join([part[count:], *parts[at + 1 :]])
-        count -= len(part)
-    return b""
--- a/standins/soak/plan.py
+++ b/standins/soak/plan.py
@@ -14,6 +14,7 @@
 MAX_KILL_DEADLINE = 3.0  # seconds; a longer deadline does not delay SIGKILL further
 MIN_DEADLINE = 0.3  # seconds
 MIN_LINK_CROSSINGS = 10  # one-way trips to an engine that fit into the shortest deadline
+ROUGH_CLIENTS_PER_FRONT = 12
 SHORT_LENGTH_SHARE = 0.1  # of the pages of engines
 LATEST_RESTART = 1.0  # seconds into the run
 CLASS_NAMES = ("lookup", "booking", "report", "once")
@@ -36,6 +37,7 @@
     CLOCKS = "clocks"  # wall clocks are stepped
     CALLS = "calls"  # system calls fail as documented
     SHORT_LENGTHS = "short-lengths"  # some pages of engines state a length that is too short
+    ROUGH_CLIENTS = "rough-clients"  # they write in small pieces, stop half way, send much work
 
 
 @dataclass(frozen=True)
@@ -75,6 +77,7 @@
     clients: tuple[ClientPlan, ...]
     crowd_per_front: int  # idle connections at each front end, some with half a message
     bad_clients_per_front: int
+    rough_clients_per_front: int
     signals: tuple[SignalAt, ...]
     engine_fault_share: float  # share of queries at some engines that end badly
     short_length_share: float  # share of the pages of engines
@@ -199,6 +202,7 @@
         clients=tuple(clients),
         crowd_per_front=rng.randint(40, 160) if FaultKind.CROWD in kinds else 0,
         bad_clients_per_front=rng.randint(2, 6) if FaultKind.BAD_CLIENTS in kinds else 0,
+        rough_clients_per_front=ROUGH_CLIENTS_PER_FRONT if FaultKind.ROUGH_CLIENTS in kinds else 0,
         signals=tuple(sorted(signals, key=lambda each: each.at)),
         engine_fault_share=engine_fault_share,
         short_length_share=SHORT_LENGTH_SHARE if FaultKind.SHORT_LENGTHS in kinds else 0.0,
--- a/standins/soak/soakrun.py
+++ b/standins/soak/soakrun.py
@@ -241,6 +241,9 @@
                 self.hub.spawn(
                     BadClient(self.hub, front.address, rng, lambda: self.finished).send_bad_messages
                 )
+            for number in range(plan.rough_clients_per_front):
+                rng = self._stream(f"rough client {front.name} {number}")
+                self.hub.spawn(BadClient(self.hub, front.address, rng, lambda: self.finished).write_roughly)
 
     def _client_link_shapers(self, number: int, at: int) -> tuple[Shaper, Shaper]:
         client = self.plan.clients[number]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,6 +15,7 @@
     "engine-links": ("114-116", "engine-links,engines"),
     "calls-engines-lists": ("111-113", "calls,engines,lists,discovery,clocks"),
     "short-lengths": ("117-119", "engines,short-lengths"),
+    "rough-clients": ("121-123", "links,rough-clients"),
 }
 
 
