--- a/standins/soak/defects.py
+++ b/standins/soak/defects.py
@@ -129,15 +129,6 @@
             ),
         ),
     ),
-    Defect(
-        "reads-long-statements-at-once",
-        "lost",
-        "rough-clients",
-        (
-            Replacement("aspenrill/fronts/statements.py", "MAX_SHORT = 2048", "MAX_SHORT = 1_000_000"),
-            Replacement("aspenrill/wire/thrift.py", "MAX_VALUES = 1000", "MAX_VALUES = 1_000_000"),
-        ),
-    ),
     Defect(
         "looks-for-the-same-end-again",
         "lost",
